--- /dev/null
+++ b/Libraries/LibCore/Time.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace Comfreysail::Core {
+
+/// A span of time, in microseconds.
+using Duration = std::chrono::microseconds;
+
+/// A point on the monotonic clock of this process. Deciding functions take it as their last argument.
+using Instant = std::chrono::time_point<std::chrono::steady_clock, Duration>;
+
+/// A point on the wall clock, in milliseconds since the Unix epoch. Only for times that cross process boundaries.
+using WallTime = std::chrono::time_point<std::chrono::system_clock, std::chrono::milliseconds>;
+
+inline Instant monotonicNow() { return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now()); }
+
+inline WallTime wallNow()
+{
+    return std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
+}
+
+/// Milliseconds since the Unix epoch, as written into headers and rows.
+inline int64_t toUnixMilliseconds(WallTime time) { return time.time_since_epoch().count(); }
+
+inline WallTime fromUnixMilliseconds(int64_t milliseconds) { return WallTime(std::chrono::milliseconds(milliseconds)); }
+
+}
