LibRouting, LibAdmission: Declare the interfaces with a simple implementation

The daemon calls target groups, home selection and admission queues, and is written at the same time.

--- /dev/null
+++ b/Libraries/LibAdmission/Admission.h
@@ -0,0 +1,11 @@
+#pragma once
+
+/// Public header of LibAdmission: bounded queues with deadlines, fair shares among departments and class limits.
+
+#include <LibAdmission/AdmissionOptions.h>
+#include <LibAdmission/AdmissionQueue.h>
+#include <LibAdmission/Admitted.h>
+#include <LibAdmission/Expired.h>
+#include <LibAdmission/QueuedRequest.h>
+#include <LibAdmission/RequestClass.h>
+#include <LibAdmission/Ticket.h>
--- /dev/null
+++ b/Libraries/LibAdmission/Expired.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <LibAdmission/Ticket.h>
+#include <LibCore/ErrorKind.h>
+#include <cstdint>
+
+namespace Comfreysail::Admission {
+
+/// A queued request that is refused: its deadline passed (DeadlineExceededInQueue), or its place went to a department
+/// that was below its share (DepartmentOverShare). It did not run.
+struct Expired {
+    Ticket ticket;
+    uint64_t id { 0 };
+    Core::ErrorKind reason { Core::ErrorKind::DeadlineExceededInQueue };
+
+    bool operator==(Expired const&) const = default;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibRouting/GroupLoad.h
@@ -0,0 +1,14 @@
+#pragma once
+
+namespace Comfreysail::Routing {
+
+/// The load of one target group, as its home knows it.
+struct GroupLoad {
+    unsigned slots { 0 };    ///< Requests that the group's usable targets can run at the same time.
+    unsigned inFlight { 0 }; ///< Requests sent to targets and not finished.
+    unsigned queued { 0 };   ///< Requests that wait at the home.
+
+    bool operator==(GroupLoad const&) const = default;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibRouting/Pick.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <string>
+
+namespace Comfreysail::Routing {
+
+/// The target that gets the request.
+struct Pick {
+    std::string target;
+
+    /// True when pooled connections to the target must not be used: it has not answered since it was added, or its
+    /// last connection was lost or timed out.
+    bool connectFresh { false };
+
+    bool operator==(Pick const&) const = default;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibRouting/Routing.h
@@ -0,0 +1,17 @@
+#pragma once
+
+/// Public header of LibRouting: target groups, target selection, home selection, spill and load report scheduling.
+/// Nothing here opens a socket or reads a clock; the same calls with the same times give the same decisions.
+
+#include <LibRouting/DispatchMode.h>
+#include <LibRouting/GroupKey.h>
+#include <LibRouting/GroupLoad.h>
+#include <LibRouting/GroupOptions.h>
+#include <LibRouting/HomeCandidate.h>
+#include <LibRouting/HomeSelection.h>
+#include <LibRouting/LoadHint.h>
+#include <LibRouting/Pick.h>
+#include <LibRouting/PickRequest.h>
+#include <LibRouting/SendOutcome.h>
+#include <LibRouting/Target.h>
+#include <LibRouting/TargetGroup.h>
