LibRouting, LibAdmission: Add limits, suspicion, fair shares and a replay bench

Target groups limit cold and suspect targets and know fallback mode; homes spill by load report within a budget; admission queues serve departments by deficit round robin with class limits. Benchmarks/Routing replays a committed trace with these libraries and with simpler policies.

--- /dev/null
+++ b/Benchmarks/Routing/Replay/Cluster.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <LibCore/Time.h>
+#include <cstddef>
+#include <string>
+
+namespace Comfreysail::RoutingReplay {
+
+/// The cluster that is replayed: docs/design.md, section 1.5, with 5 targets in each of 4 availability zones.
+inline constexpr size_t zoneCount = 4;
+inline constexpr size_t targetsPerZone = 5;
+inline constexpr size_t targetCount = zoneCount * targetsPerZone;
+inline constexpr unsigned slotsPerTarget = 2;
+inline constexpr size_t deciderCount = 14;
+inline constexpr size_t departmentCount = 4;
+
+inline constexpr Core::Duration meanWork = std::chrono::milliseconds(10);
+inline constexpr Core::Duration hopInZone = std::chrono::microseconds(300);
+inline constexpr Core::Duration hopBetweenZones = std::chrono::milliseconds(1);
+
+/// A request that has not started by then is given up.
+inline constexpr Core::Duration requestDeadline = std::chrono::seconds(1);
+
+constexpr size_t zoneOfTarget(size_t target) { return target / targetsPerZone; }
+
+/// 4, 4, 3 and 3 deciders in the zones, so the zones do not get equal work.
+constexpr size_t zoneOfDecider(size_t decider) { return decider % zoneCount; }
+
+constexpr Core::Duration hopBetween(size_t zone, size_t otherZone)
+{
+    return zone == otherZone ? hopInZone : hopBetweenZones;
+}
+
+inline std::string zoneName(size_t zone) { return "zone-" + std::to_string(zone); }
+inline std::string targetName(size_t target) { return "target-" + std::to_string(target); }
+inline std::string daemonName(size_t decider) { return "daemon-" + std::to_string(decider); }
+inline std::string departmentName(size_t department) { return "department-" + std::to_string(department); }
+
+}
--- /dev/null
+++ b/Benchmarks/Routing/Replay/DirectPolicy.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <Replay/Cluster.h>
+#include <Replay/Policy.h>
+#include <array>
+#include <bitset>
+#include <cstdint>
+#include <random>
+#include <vector>
+
+namespace Comfreysail::RoutingReplay {
+
+/// Policies in which the daemon that a request arrives at sends it to a target itself.
+class DirectPolicy final : public Policy {
+public:
+    enum class Kind : uint8_t {
+        Random,
+        RoundRobin,
+        PowerOfTwo,    ///< On the daemon's own counts.
+        LeastReported, ///< By reports of all targets every 20 ms plus own sends since.
+        PerfectJoinShortestQueue,
+    };
+
+    DirectPolicy(Kind, uint64_t seed);
+
+    std::string name() const override;
+    void start(Simulation&) override;
+    void arrive(Simulation&, size_t request) override;
+    void ended(Simulation&, size_t request, size_t target, bool isGivenUp) override;
+    void zoneChanged(Simulation&, size_t decider, size_t zone, bool isIn) override;
+    MeasurementCost measurementCost() const override;
+
+private:
+    struct Decider {
+        std::array<size_t, targetCount> ownInFlight {};
+        std::array<size_t, targetCount> reported {};
+        size_t lastTarget { 0 };
+        std::bitset<zoneCount> zonesOut;
+    };
+
+    size_t choose(Simulation&, size_t decider);
+    size_t leastBy(size_t decider, std::array<size_t, targetCount> const& counts);
+    std::vector<size_t> usableTargets(Decider const&) const;
+    void report(Simulation&);
+
+    Kind m_kind;
+    std::mt19937_64 m_generator;
+    std::array<Decider, deciderCount> m_deciders;
+    size_t m_reports { 0 };
+};
+
+}
--- /dev/null
+++ b/Benchmarks/Routing/Replay/HomePolicy.cpp
@@ -0,0 +1,263 @@
+#include <LibCore/Hash.h>
+#include <Replay/HomePolicy.h>
+#include <Replay/Simulation.h>
+#include <algorithm>
+
+namespace Comfreysail::RoutingReplay {
+
+namespace {
+
+constexpr Core::Duration tickInterval = std::chrono::milliseconds(5);
+
+std::string const service = "orders";
+
+}
+
+HomePolicy::HomePolicy(Exchange exchange, uint64_t seed)
+    : m_exchange(exchange)
+    , m_seed(seed)
+{
+}
+
+std::string HomePolicy::name() const
+{
+    return m_exchange == Exchange::Spill ? "homes, spill exchange" : "homes, no exchange";
+}
+
+void HomePolicy::createHome(size_t zone, size_t decider, Core::Instant now)
+{
+    auto& home = m_homes[zone];
+    home.decider = decider;
+    home.key = { service, zoneName(zone), 0 };
+    std::vector<Routing::Target> targets;
+    for (size_t target = 0; target < targetCount; ++target) {
+        if (zoneOfTarget(target) == zone)
+            targets.push_back({ targetName(target), "127.0.0.1", 80, zoneName(zone), "v1", slotsPerTarget });
+    }
+    auto const seed = Core::combineHashes(m_seed, zone);
+    Routing::GroupOptions const options { Routing::DispatchMode::Home, seed, Core::Duration::zero() };
+    home.group = std::make_unique<Routing::TargetGroup>(home.key, targets, options, now);
+    home.spill = std::make_unique<Routing::SpillSelector>(Core::combineHashes(seed, 1));
+    home.reports = std::make_unique<Routing::LoadReportScheduler>(Routing::MeasurementLimits {}, now);
+}
+
+void HomePolicy::start(Simulation& simulation)
+{
+    std::vector<Routing::HomeCandidate> candidates;
+    for (size_t decider = 0; decider < deciderCount; ++decider)
+        candidates.push_back({ daemonName(decider), zoneName(zoneOfDecider(decider)) });
+    for (size_t zone = 0; zone < zoneCount; ++zone) {
+        auto const home = Routing::homeOf({ service, zoneName(zone), 0 }, candidates);
+        size_t decider = 0;
+        while (daemonName(decider) != *home)
+            ++decider;
+        createHome(zone, decider, simulation.now());
+    }
+    for (size_t zone = 0; zone < zoneCount; ++zone) {
+        std::vector<std::string> siblings;
+        for (size_t other = 0; other < zoneCount; ++other) {
+            if (other != zone)
+                siblings.push_back(daemonName(m_homes[other].decider));
+        }
+        m_homes[zone].reports->setSiblings(m_homes[zone].key, siblings);
+        tick(simulation, zone);
+    }
+}
+
+Routing::GroupLoad HomePolicy::loadOf(Home const& home, Core::Instant now) const
+{
+    auto load = home.group->load(now);
+    load.queued = static_cast<unsigned>(home.queue.queued());
+    return load;
+}
+
+void HomePolicy::tick(Simulation& simulation, size_t zone)
+{
+    auto& home = m_homes[zone];
+    drain(simulation, zone);
+    if (m_exchange == Exchange::Spill) {
+        home.reports->noteLoad(home.key, loadOf(home, simulation.now()));
+        for (auto const& report : home.reports->due(simulation.now()))
+            deliver(simulation, zone, report);
+    }
+    simulation.after(tickInterval, [this, &simulation, zone] { tick(simulation, zone); });
+}
+
+void HomePolicy::deliver(Simulation& simulation, size_t from, Routing::LoadReport const& report)
+{
+    auto bytes = Routing::reportMessageBytes;
+    for (auto const& entry : report.entries)
+        bytes += entry.size();
+    m_homes[from].reportBytes += bytes;
+    auto const to = std::find_if(
+        m_homes.begin(), m_homes.end(), [&](Home const& home) { return daemonName(home.decider) == report.daemon; });
+    simulation.after(hopBetweenZones, [this, &simulation, &home = *to, from, bytes, report] {
+        home.reportBytes += bytes;
+        home.reports->noteReceived(daemonName(m_homes[from].decider), report, simulation.now());
+        for (auto const& entry : report.entries) {
+            if (!home.zonesOut[from])
+                home.spill->noteReport(entry.group, entry.load, simulation.now());
+        }
+    });
+}
+
+size_t HomePolicy::zoneFor(Simulation const& simulation, size_t request) const
+{
+    auto const decider = simulation.deciderOf(request);
+    auto const& zonesOut = m_zonesOut[decider];
+    auto const own = zoneOfDecider(decider);
+    if (!zonesOut[own])
+        return own;
+    std::vector<size_t> zones;
+    for (size_t zone = 0; zone < zoneCount; ++zone) {
+        if (!zonesOut[zone])
+            zones.push_back(zone);
+    }
+    return zones[Core::combineHashes(request, 0) % zones.size()];
+}
+
+void HomePolicy::arrive(Simulation& simulation, size_t request)
+{
+    auto const decider = simulation.deciderOf(request);
+    auto const zone = zoneFor(simulation, request);
+    auto const& home = m_homes[zone];
+    auto const hop = decider == home.decider ? Core::Duration::zero() : hopBetween(zoneOfDecider(decider), zone);
+    m_open[request] = { zone, hop, std::nullopt, {}, {}, {} };
+    simulation.after(hop, [this, &simulation, request] { receive(simulation, request); });
+}
+
+void HomePolicy::receive(Simulation& simulation, size_t request)
+{
+    auto& open = m_open.at(request);
+    if (trySpill(simulation, request))
+        return;
+    auto& home = m_homes[open.home];
+    Admission::QueuedRequest const queued { request, departmentName(simulation.departmentOf(request)),
+        Admission::RequestClass::Order, 1, simulation.arrivalOf(request) + requestDeadline };
+    auto const ticket = home.queue.enqueue(queued, simulation.now());
+    if (Core::isError(ticket)) {
+        refuse(simulation, request);
+        return;
+    }
+    open.ticket = Core::valueOf(ticket);
+    drain(simulation, open.home);
+}
+
+bool HomePolicy::trySpill(Simulation& simulation, size_t request)
+{
+    auto const& open = m_open.at(request);
+    if (m_exchange == Exchange::None || open.spilledBy)
+        return false;
+    auto& home = m_homes[open.home];
+    auto const sibling = home.spill->choose(loadOf(home, simulation.now()), simulation.now());
+    if (!sibling)
+        return false;
+    size_t zone = 0;
+    while (m_homes[zone].key != *sibling)
+        ++zone;
+    moveOn(simulation, request, zone);
+    return true;
+}
+
+void HomePolicy::moveOn(Simulation& simulation, size_t request, size_t zone)
+{
+    auto& open = m_open.at(request);
+    open.spilledBy = open.home;
+    open.spilledAt = simulation.now();
+    open.wayBack += hopBetweenZones;
+    open.home = zone;
+    simulation.after(hopBetweenZones, [this, &simulation, request] { receive(simulation, request); });
+}
+
+void HomePolicy::drain(Simulation& simulation, size_t zone)
+{
+    auto& home = m_homes[zone];
+    auto const now = simulation.now();
+    for (auto const& expired : home.queue.expire(now))
+        refuse(simulation, expired.id);
+    for (auto const& admitted : home.queue.dispatch(home.group->freeCapacity(now), now)) {
+        Routing::PickRequest const pickRequest { "", true, false, 0, {} };
+        auto const pick = home.group->pick(pickRequest, now);
+        if (Core::isError(pick)) {
+            home.queue.putBack(admitted.ticket, now);
+            continue;
+        }
+        auto const target = std::stoul(Core::valueOf(pick).target.substr(targetName(0).size() - 1));
+        m_open.at(admitted.id).sentAt = now;
+        simulation.send(admitted.id, target, hopInZone);
+    }
+}
+
+void HomePolicy::ended(Simulation& simulation, size_t request, size_t target, bool isGivenUp)
+{
+    simulation.after(hopInZone,
+        [this, &simulation, request, target, isGivenUp] { noteAnswer(simulation, request, target, isGivenUp); });
+}
+
+void HomePolicy::noteAnswer(Simulation& simulation, size_t request, size_t target, bool isGivenUp)
+{
+    auto const open = m_open.at(request);
+    auto& home = m_homes[open.home];
+    auto const outcome = isGivenUp ? Routing::SendOutcome::TimedOut : Routing::SendOutcome::Answered;
+    home.group->noteFinished(targetName(target), outcome, open.sentAt, {}, simulation.now());
+    home.queue.finish(open.ticket, simulation.now());
+    if (isGivenUp) {
+        refuse(simulation, request);
+    } else {
+        simulation.finish(request, open.wayBack);
+        end(simulation, request);
+    }
+    drain(simulation, open.home);
+}
+
+void HomePolicy::refuse(Simulation& simulation, size_t request)
+{
+    simulation.refuse(request);
+    end(simulation, request);
+}
+
+void HomePolicy::end(Simulation& simulation, size_t request)
+{
+    auto const open = m_open.at(request);
+    m_open.erase(request);
+    if (!open.spilledBy)
+        return;
+    simulation.after(hopBetweenZones,
+        [this, open] { m_homes[*open.spilledBy].spill->noteSpillFinished(m_homes[open.home].key, open.spilledAt); });
+}
+
+void HomePolicy::zoneChanged(Simulation& simulation, size_t decider, size_t zone, bool isIn)
+{
+    m_zonesOut[decider][zone] = !isIn;
+    for (size_t own = 0; own < zoneCount; ++own) {
+        auto& home = m_homes[own];
+        if (home.decider != decider)
+            continue;
+        home.zonesOut[zone] = !isIn;
+        if (own != zone && !isIn)
+            home.spill->removeSibling(m_homes[zone].key);
+        if (own != zone)
+            continue;
+        home.group->setAvailabilityZoneIn(isIn, simulation.now());
+        if (isIn)
+            continue;
+        // What still waits goes to the other homes, whose admission queues decide.
+        auto const waiting = static_cast<unsigned>(home.queue.queued());
+        for (auto const& admitted : home.queue.dispatch(waiting, simulation.now())) {
+            home.queue.cancel(admitted.ticket, simulation.now());
+            moveOn(simulation, admitted.id, zoneFor(simulation, admitted.id));
+        }
+    }
+}
+
+MeasurementCost HomePolicy::measurementCost() const
+{
+    MeasurementCost cost;
+    for (auto const& home : m_homes) {
+        cost.bytesOfBusiestDaemon = std::max(cost.bytesOfBusiestDaemon, home.reportBytes);
+        cost.bytesOfAllDaemons += home.reportBytes;
+    }
+    return cost;
+}
+
+}
--- /dev/null
+++ b/Benchmarks/Routing/Replay/HomePolicy.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <LibAdmission/Admission.h>
+#include <LibRouting/Routing.h>
+#include <Replay/Cluster.h>
+#include <Replay/Policy.h>
+#include <array>
+#include <bitset>
+#include <map>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+namespace Comfreysail::RoutingReplay {
+
+/// Homes as the daemon runs them: LibRouting and LibAdmission take all decisions, and the policy only carries requests
+/// and reports between them.
+class HomePolicy final : public Policy {
+public:
+    enum class Exchange : uint8_t {
+        None,
+        Spill, ///< Load reports between homes, and spill by them.
+    };
+
+    HomePolicy(Exchange, uint64_t seed);
+
+    std::string name() const override;
+    void start(Simulation&) override;
+    void arrive(Simulation&, size_t request) override;
+    void ended(Simulation&, size_t request, size_t target, bool isGivenUp) override;
+    void zoneChanged(Simulation&, size_t decider, size_t zone, bool isIn) override;
+    MeasurementCost measurementCost() const override;
+
+private:
+    struct Home {
+        size_t decider { 0 };
+        Routing::GroupKey key;
+        std::unique_ptr<Routing::TargetGroup> group;
+        Admission::AdmissionQueue queue;
+        std::unique_ptr<Routing::SpillSelector> spill;
+        std::unique_ptr<Routing::LoadReportScheduler> reports;
+        std::bitset<zoneCount> zonesOut;
+        size_t reportBytes { 0 };
+    };
+
+    /// A request between its arrival and its end.
+    struct Open {
+        size_t home { 0 };               ///< Zone of the home that dispatches it.
+        Core::Duration wayBack { 0 };    ///< From that home to the daemon that the caller is connected to.
+        std::optional<size_t> spilledBy; ///< Zone of the home that sent it on.
+        Core::Instant spilledAt;
+        Admission::Ticket ticket;
+        Core::Instant sentAt;
+    };
+
+    void createHome(size_t zone, size_t decider, Core::Instant now);
+    size_t zoneFor(Simulation const&, size_t request) const;
+    void receive(Simulation&, size_t request);
+    bool trySpill(Simulation&, size_t request);
+    void moveOn(Simulation&, size_t request, size_t zone);
+    void drain(Simulation&, size_t zone);
+    void refuse(Simulation&, size_t request);
+    void noteAnswer(Simulation&, size_t request, size_t target, bool isGivenUp);
+    void end(Simulation&, size_t request);
+    void tick(Simulation&, size_t zone);
+    void deliver(Simulation&, size_t from, Routing::LoadReport const&);
+    Routing::GroupLoad loadOf(Home const&, Core::Instant now) const;
+
+    Exchange m_exchange;
+    uint64_t m_seed;
+    std::array<Home, zoneCount> m_homes;
+    std::array<std::bitset<zoneCount>, deciderCount> m_zonesOut; ///< As each daemon knows them.
+    std::unordered_map<size_t, Open> m_open;
+};
+
+}
--- /dev/null
+++ b/Benchmarks/Routing/Replay/Simulation.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <LibCore/Time.h>
+#include <Replay/Cluster.h>
+#include <Replay/Outcome.h>
+#include <Replay/Policy.h>
+#include <Replay/Scenario.h>
+#include <Replay/SimulatedTarget.h>
+#include <Replay/Trace.h>
+#include <array>
+#include <functional>
+#include <queue>
+#include <vector>
+
+namespace Comfreysail::RoutingReplay {
+
+/// Replays a trace with one policy: discrete events in one process, without sockets or threads.
+class Simulation {
+public:
+    /// The trace must outlive the simulation.
+    Simulation(Trace const&, Scenario, Policy&);
+
+    Outcome run();
+
+    Core::Instant now() const { return m_now; }
+    size_t deciderOf(size_t request) const { return m_requests[request].decider; }
+    size_t departmentOf(size_t request) const { return m_requests[request].department; }
+    Core::Instant arrivalOf(size_t request) const { return m_requests[request].arrival; }
+    bool isRunning() const { return m_openRequests > 0 || m_nextArrival < m_requests.size(); }
+
+    /// Runs an action of the policy after a delay. Actions of the same time run in the order of scheduling.
+    void after(Core::Duration, std::function<void()>);
+
+    /// The request reaches the target after the delay.
+    void send(size_t request, size_t target, Core::Duration delay);
+
+    /// The caller gets its answer, or its refusal, after the delay.
+    void finish(size_t request, Core::Duration delay);
+    void refuse(size_t request);
+
+    /// Requests assigned to a target and not ended, without any delay: known to nobody in a real cluster.
+    size_t assignedTo(size_t target) const { return m_assigned[target]; }
+
+private:
+    struct Event {
+        Core::Instant time;
+        uint64_t sequence { 0 };
+        std::function<void()> action;
+    };
+
+    struct IsLater {
+        bool operator()(Event const& left, Event const& right) const
+        {
+            return left.time != right.time ? left.time > right.time : left.sequence > right.sequence;
+        }
+    };
+
+    struct Request {
+        Core::Instant arrival;
+        Core::Duration work;
+        uint8_t decider { 0 };
+        uint8_t department { 0 };
+    };
+
+    /// Adds the time that the policy takes to the processor time.
+    template<typename Action> void timed(Action const& action)
+    {
+        auto const start = std::chrono::steady_clock::now();
+        action();
+        m_processorTime += std::chrono::steady_clock::now() - start;
+    }
+
+    void schedule(Core::Duration, std::function<void()>);
+    void prepareRequests(Trace const&);
+    void scheduleFaults(Trace const&);
+    void scheduleArrival();
+    void scheduleZoneChange(Core::Duration at, size_t zone, bool isIn);
+    void scheduleEnd(size_t target);
+    void collectEnded(size_t target, uint64_t generation);
+    void noteDecision(uint64_t);
+    Outcome summarize() const;
+
+    Scenario m_scenario;
+    Policy& m_policy;
+    std::vector<Request> m_requests;
+    size_t m_nextArrival { 0 };
+    size_t m_openRequests { 0 };
+    size_t m_refused { 0 };
+    std::array<SimulatedTarget, targetCount> m_targets;
+    std::array<uint64_t, targetCount> m_generations {};
+    std::array<size_t, targetCount> m_assigned {};
+    std::vector<Core::Duration> m_latencies;
+    std::priority_queue<Event, std::vector<Event>, IsLater> m_events;
+    uint64_t m_lastSequence { 0 };
+    uint64_t m_decisions { 0 };
+    Core::Instant m_now;
+    std::chrono::nanoseconds m_processorTime { 0 };
+};
+
+}
--- /dev/null
+++ b/Libraries/LibAdmission/DrainRate.cpp
@@ -0,0 +1,34 @@
+#include <LibAdmission/DrainRate.h>
+#include <algorithm>
+
+namespace Comfreysail::Admission {
+
+namespace {
+
+// The mean covers about this many ends.
+constexpr unsigned window = 32;
+
+// With exponential intervals the mean of 8 is off by a third; fewer are not used to refuse requests.
+constexpr unsigned fewestSamples = 8;
+
+}
+
+void DrainRate::noteFinished(bool othersWait, Core::Instant now)
+{
+    if (m_isBusy) {
+        auto const sample = std::chrono::duration<double>(now - m_lastFinish).count();
+        m_samples = std::min(m_samples + 1, window);
+        m_meanSeconds += (sample - m_meanSeconds) / m_samples;
+    }
+    m_isBusy = othersWait;
+    m_lastFinish = now;
+}
+
+Core::Duration DrainRate::interval() const
+{
+    if (m_samples < fewestSamples)
+        return Core::Duration::zero();
+    return std::chrono::duration_cast<Core::Duration>(std::chrono::duration<double>(m_meanSeconds));
+}
+
+}
--- a/Libraries/LibAdmission/Ticket.h
+++ b/Libraries/LibAdmission/Ticket.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <compare>
 #include <cstdint>
 
 namespace Comfreysail::Admission {
@@ -9,7 +8,8 @@
 struct Ticket {
     uint64_t value { 0 };
 
-    auto operator<=>(Ticket const&) const = default;
+    bool operator==(Ticket const&) const = default;
+    bool operator<(Ticket const& other) const { return value < other.value; }
 };
 
 }
--- /dev/null
+++ b/Libraries/LibRouting/FailureEstimate.cpp
@@ -0,0 +1,50 @@
+#include <LibRouting/FailureEstimate.h>
+#include <algorithm>
+
+namespace Comfreysail::Routing {
+
+namespace {
+
+// Two failures in a row, or one failed connection, raise the rate above the limit.
+constexpr double newSampleWeight = 0.3;
+constexpr double failingRate = 0.5;
+
+// Failing targets are compared with the rest of the group by this factor.
+constexpr double othersFactor = 2;
+
+constexpr Core::Duration firstBackoff = std::chrono::milliseconds(100);
+constexpr Core::Duration longestBackoff = std::chrono::seconds(2);
+
+}
+
+void FailureEstimate::note(SendOutcome outcome, Core::Instant now)
+{
+    switch (outcome) {
+    case SendOutcome::Cancelled:
+        return;
+    case SendOutcome::Answered:
+        m_rate *= 1 - newSampleWeight;
+        if (m_rate < failingRate)
+            m_backoff = Core::Duration::zero();
+        return;
+    case SendOutcome::ConnectFailed:
+        // No listener at all is certain and costs nothing to detect.
+        m_rate = 1;
+        break;
+    case SendOutcome::ServerError:
+    case SendOutcome::Shed:
+    case SendOutcome::ConnectionLost:
+    case SendOutcome::TimedOut:
+        m_rate += (1 - m_rate) * newSampleWeight;
+        break;
+    }
+    m_backoff = std::clamp(2 * m_backoff, firstBackoff, longestBackoff);
+    m_testAt = now + m_backoff;
+}
+
+bool FailureEstimate::isFailing(double rateOfOthers) const
+{
+    return m_rate > failingRate && m_rate > othersFactor * rateOfOthers;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibRouting/InFlightRequest.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <LibCore/Time.h>
+#include <cstdint>
+
+namespace Comfreysail::Routing {
+
+/// A request that was sent to a target and has not finished.
+struct InFlightRequest {
+    Core::Instant sentAt;
+    Core::Instant startedAt; ///< When a slot became free for it, as far as this daemon's own sends tell.
+    bool isRunning { false };
+    uint8_t costClass { 0 };
+
+    bool operator==(InFlightRequest const&) const = default;
+};
+
+}
--- a/Libraries/LibRouting/PickRequest.h
+++ b/Libraries/LibRouting/PickRequest.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -16,6 +17,9 @@
     /// until it has finished, so that a second crash has only one possible cause.
     bool suspect { false };
 
+    /// Which typical service time applies, below costClassCount; the class of the route is a good choice.
+    uint8_t costClass { 0 };
+
     /// Targets that already failed this request.
     std::vector<std::string> excludedTargets;
 
--- a/Libraries/LibRouting/Routing.h
+++ b/Libraries/LibRouting/Routing.h
@@ -9,9 +9,14 @@
 #include <LibRouting/GroupOptions.h>
 #include <LibRouting/HomeCandidate.h>
 #include <LibRouting/HomeSelection.h>
+#include <LibRouting/Knowledge.h>
 #include <LibRouting/LoadHint.h>
+#include <LibRouting/LoadReport.h>
+#include <LibRouting/LoadReportScheduler.h>
+#include <LibRouting/MeasurementBudget.h>
 #include <LibRouting/Pick.h>
 #include <LibRouting/PickRequest.h>
 #include <LibRouting/SendOutcome.h>
+#include <LibRouting/SpillSelector.h>
 #include <LibRouting/Target.h>
 #include <LibRouting/TargetGroup.h>
--- /dev/null
+++ b/Libraries/LibRouting/SpillSelector.cpp
@@ -0,0 +1,97 @@
+#include <LibRouting/SpillSelector.h>
+#include <algorithm>
+#include <cmath>
+
+namespace Comfreysail::Routing {
+
+namespace {
+
+// A sibling that has not reported for this long may be unreachable. Under load it reports several times as often.
+constexpr Core::Duration reportLife = std::chrono::milliseconds(500);
+
+// A report says little about the load after a few service times; the estimate then returns to the mean of the reports.
+constexpr double correlationSeconds = 0.03;
+
+// Weight of a new report in the mean.
+constexpr double reportWeight = 0.1;
+
+// Spills sent less than this before a report arrived were not yet counted in it: one way across zones and back.
+constexpr Core::Duration reportDelay = std::chrono::milliseconds(2);
+
+// Requests for each slot by which the sibling must be less loaded, so that the two hops across zones are worth it.
+constexpr double smallestGain = 0.25;
+
+}
+
+SpillSelector::SpillSelector(uint64_t seed)
+    : m_generator(seed)
+{
+}
+
+void SpillSelector::noteReport(GroupKey const& sibling, GroupLoad load, Core::Instant now)
+{
+    auto const [entry, isNew] = m_siblings.try_emplace(sibling);
+    auto& known = entry->second;
+    bool const isStale = isNew || now - known.reportedAt > reportLife;
+    auto const demand = static_cast<double>(load.demand());
+    known.meanDemand = isStale ? demand : known.meanDemand + (demand - known.meanDemand) * reportWeight;
+    known.load = load;
+    known.reportedAt = now;
+}
+
+void SpillSelector::removeSibling(GroupKey const& sibling) { m_siblings.erase(sibling); }
+
+double SpillSelector::expectedDemand(Sibling const& sibling, Core::Instant now) const
+{
+    auto const age = std::chrono::duration<double>(now - sibling.reportedAt).count();
+    auto const known = std::exp(-age / correlationSeconds);
+    auto const reported = sibling.load.demand() * known + sibling.meanDemand * (1 - known);
+    auto const notReported = std::count_if(sibling.spills.begin(), sibling.spills.end(),
+        [&](Core::Instant sentAt) { return sentAt + reportDelay > sibling.reportedAt; });
+    return reported + static_cast<double>(notReported);
+}
+
+std::optional<GroupKey> SpillSelector::choose(GroupLoad local, Core::Instant now)
+{
+    if (!local.isUnderPressure())
+        return std::nullopt;
+    auto const localRatio
+        = local.slots == 0 ? 1e9 : static_cast<double>(local.demand() + 1) / static_cast<double>(local.slots);
+
+    std::pair<GroupKey const, Sibling>* best = nullptr;
+    double bestRatio = 0;
+    unsigned ties = 0;
+    for (auto& entry : m_siblings) {
+        auto const& sibling = entry.second;
+        if (now - sibling.reportedAt > reportLife || sibling.load.slots == 0)
+            continue;
+        auto const demand = expectedDemand(sibling, now) + 1;
+        auto const ratio = demand / sibling.load.slots;
+        if (ratio > 1 || localRatio - ratio < smallestGain)
+            continue;
+        if (!best || ratio < bestRatio) {
+            best = &entry;
+            bestRatio = ratio;
+            ties = 1;
+        } else if (ratio == bestRatio && m_generator() % ++ties == 0) {
+            best = &entry;
+        }
+    }
+    if (!best)
+        return std::nullopt;
+    best->second.spills.push_back(now);
+    return best->first;
+}
+
+void SpillSelector::noteSpillFinished(GroupKey const& sibling, Core::Instant sentAt)
+{
+    auto const entry = m_siblings.find(sibling);
+    if (entry == m_siblings.end())
+        return;
+    auto& spills = entry->second.spills;
+    auto const spill = std::find(spills.begin(), spills.end(), sentAt);
+    if (spill != spills.end())
+        spills.erase(spill);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibRouting/TargetRecord.cpp
@@ -0,0 +1,186 @@
+#include <LibRouting/TargetRecord.h>
+#include <algorithm>
+
+namespace Comfreysail::Routing {
+
+namespace {
+
+// One request waits at the target for each slot, so that a slot does not stay empty for the round trip after an answer.
+constexpr unsigned requestsAheadForEachSlot = 1;
+
+// An answer later than this multiple of the typical time is no evidence that a cold target copes with its limit.
+constexpr int64_t slowAnswerInTypicals = 3;
+
+// How long a target's own word that it drains is believed without being repeated.
+constexpr Core::Duration drainingHintLife = std::chrono::seconds(5);
+
+bool isWholeAnswer(SendOutcome outcome)
+{
+    return outcome == SendOutcome::Answered || outcome == SendOutcome::ServerError || outcome == SendOutcome::Shed;
+}
+
+}
+
+TargetRecord::TargetRecord(Target target, Knowledge knowledge, Core::Instant now)
+    : m_target(std::move(target))
+    , m_knowledge(knowledge)
+    , m_workSettledAt(now)
+{
+}
+
+unsigned TargetRecord::fullLimit() const { return m_target.slots * (1 + requestsAheadForEachSlot); }
+
+void TargetRecord::replaceTarget(Target target)
+{
+    m_target = std::move(target);
+    m_speed = {};
+    m_failures = {};
+    m_saysDrainingUntil = {};
+    m_isDraining = false;
+    m_ignoresColdHint = false;
+    becomeCold();
+}
+
+void TargetRecord::forgetBefore(Core::Instant oldest)
+{
+    if (m_knowledge == Knowledge::Warm && m_knownAt < oldest && m_inFlight.empty())
+        m_knowledge = Knowledge::Unknown;
+}
+
+void TargetRecord::observe(TargetState state, Core::Instant now)
+{
+    m_knownAt = now;
+    if (state == TargetState::Draining)
+        m_saysDrainingUntil = now + drainingHintLife;
+    else if (state == TargetState::Cold)
+        becomeCold();
+    else
+        becomeWarm();
+}
+
+void TargetRecord::becomeCold()
+{
+    m_knowledge = Knowledge::Cold;
+    m_warmUp.restart();
+    m_connectFresh = true;
+}
+
+void TargetRecord::becomeWarm()
+{
+    m_knowledge = Knowledge::Warm;
+    m_warmUp.finish();
+}
+
+double TargetRecord::unitsSince(Core::Instant from, ServiceTimes const& times, Core::Instant now) const
+{
+    double units = 0;
+    for (auto const& request : m_inFlight) {
+        auto const typical = times.typical(request.costClass);
+        if (request.isRunning && typical > Core::Duration::zero())
+            units += std::chrono::duration<double>(now - from) / std::chrono::duration<double>(typical);
+    }
+    return units;
+}
+
+void TargetRecord::settleWork(ServiceTimes const& times, Core::Instant now)
+{
+    if (!m_inFlight.empty())
+        m_speed.addWork(unitsSince(m_workSettledAt, times, now), now);
+    m_workSettledAt = now;
+}
+
+void TargetRecord::startWaiting(Core::Instant now)
+{
+    auto running = std::count_if(
+        m_inFlight.begin(), m_inFlight.end(), [](InFlightRequest const& request) { return request.isRunning; });
+    for (auto& request : m_inFlight) {
+        if (running >= static_cast<std::ptrdiff_t>(m_target.slots))
+            return;
+        if (request.isRunning)
+            continue;
+        request.isRunning = true;
+        request.startedAt = now;
+        ++running;
+    }
+}
+
+void TargetRecord::noteSent(uint8_t costClass, ServiceTimes const& times, Core::Instant now)
+{
+    settleWork(times, now);
+    m_inFlight.push_back({ now, now, false, costClass });
+    startWaiting(now);
+}
+
+void TargetRecord::noteFinished(
+    SendOutcome outcome, Core::Instant sentAt, LoadHint const& hint, ServiceTimes& times, Core::Instant now)
+{
+    settleWork(times, now);
+    auto entry = std::find_if(
+        m_inFlight.begin(), m_inFlight.end(), [&](InFlightRequest const& request) { return request.sentAt == sentAt; });
+    // A caller that takes its own time stamp may be off by some microseconds; the oldest request is the best guess.
+    if (entry == m_inFlight.end())
+        entry = m_inFlight.begin();
+    if (entry == m_inFlight.end())
+        return;
+    auto const request = *entry;
+    m_inFlight.erase(entry);
+    startWaiting(now);
+    if (m_inFlight.empty())
+        m_isExclusive = false;
+    if (outcome == SendOutcome::Cancelled)
+        return;
+
+    m_knownAt = now;
+    m_connectFresh = !isWholeAnswer(outcome);
+    m_failures.note(outcome, now);
+    m_speed.addAnswer(now);
+
+    auto const serviceTime = now - request.startedAt;
+    auto const typical = times.typical(request.costClass);
+    bool const isSlow = typical > Core::Duration::zero() && serviceTime > slowAnswerInTypicals * typical;
+    // Requests that started before the answer of another one was seen may have a service time near zero.
+    if (outcome == SendOutcome::Answered && request.isRunning && m_knowledge != Knowledge::Cold)
+        times.add(request.costClass, serviceTime);
+
+    if (hint.state == TargetState::Draining)
+        m_saysDrainingUntil = now + drainingHintLife;
+    noteColdEvidence(outcome, hint, isSlow);
+}
+
+void TargetRecord::noteColdEvidence(SendOutcome outcome, LoadHint const& hint, bool isSlow)
+{
+    bool const saysCold = hint.state == TargetState::Cold;
+    if (!saysCold && hint.state)
+        m_ignoresColdHint = false;
+
+    // A target that sheds got more than it can handle, whatever it says about itself.
+    bool const lostProcess = outcome == SendOutcome::ConnectFailed || outcome == SendOutcome::ConnectionLost;
+    bool const shed = outcome == SendOutcome::Shed;
+    if (m_knowledge == Knowledge::Warm) {
+        // A process that ended comes back cold; one that says so itself is believed, unless it said so all the time
+        // while it earned its full limit.
+        if (lostProcess || shed || (saysCold && !m_ignoresColdHint))
+            becomeCold();
+        return;
+    }
+
+    if (m_knowledge == Knowledge::Unknown)
+        m_knowledge = Knowledge::Cold;
+    auto evidence = WarmUp::Evidence::Good;
+    if (outcome != SendOutcome::Answered)
+        evidence = WarmUp::Evidence::Bad;
+    else if (saysCold || isSlow)
+        evidence = WarmUp::Evidence::Doubtful;
+    m_warmUp.note(evidence, fullLimit());
+    if (!m_warmUp.isCold()) {
+        m_knowledge = Knowledge::Warm;
+        m_ignoresColdHint = saysCold;
+    }
+}
+
+double TargetRecord::slowness(ServiceTimes const& times, Core::Instant now) const
+{
+    return m_speed.slowness(unitsSince(m_workSettledAt, times, now), m_inFlight.empty(), now);
+}
+
+}
