--- a/Benchmarks/Routing/Replay/Simulation.cpp
+++ b/Benchmarks/Routing/Replay/Simulation.cpp
@@ -53,7 +53,7 @@
 {
     for (unsigned copy = 1; copy < m_scenario.noisyFactor; ++copy) {
         // The work and the daemon come from other requests of the trace, so that the copies differ.
-        auto const& model = trace.requests[(original + copy * 7919) % trace.requests.size()];
+        auto const& model = trace.requests[(original + size_t { copy } * 7919) % trace.requests.size()];
         auto const delay = static_cast<int64_t>(meanGapOfDepartment * copy / m_scenario.noisyFactor);
         m_requests.push_back(
             { m_requests[original].arrival + Core::Duration(delay), Core::Duration(model.work * 2), model.decider, 0 });
--- a/Libraries/LibAdmission/AdmissionQueue.cpp
+++ b/Libraries/LibAdmission/AdmissionQueue.cpp
@@ -129,6 +129,7 @@
     std::stable_sort(
         uses.begin(), uses.end(), [](auto const& left, auto const& right) { return left.first < right.first; });
     std::vector<FairQueue*> queues;
+    queues.reserve(uses.size());
     for (auto const& [use, queue] : uses)
         queues.push_back(queue);
     return queues;
--- a/Libraries/LibRouting/GroupKey.h
+++ b/Libraries/LibRouting/GroupKey.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <compare>
 #include <string>
+#include <tuple>
 
 namespace Comfreysail::Routing {
 
@@ -11,7 +11,13 @@
     std::string availabilityZone;
     unsigned shard { 0 };
 
-    auto operator<=>(GroupKey const&) const = default;
+    bool operator==(GroupKey const&) const = default;
+
+    bool operator<(GroupKey const& other) const
+    {
+        return std::tie(service, availabilityZone, shard)
+            < std::tie(other.service, other.availabilityZone, other.shard);
+    }
 };
 
 }
--- a/Libraries/LibRouting/TargetGroup.cpp
+++ b/Libraries/LibRouting/TargetGroup.cpp
@@ -17,16 +17,14 @@
 
 }
 
-TargetGroup::TargetGroup(GroupKey key, std::vector<Target> targets, GroupOptions options, Core::Instant now)
+TargetGroup::TargetGroup(GroupKey key, std::vector<Target> const& targets, GroupOptions options, Core::Instant now)
     : m_key(std::move(key))
     , m_options(options)
     , m_homeSince(now)
     , m_generator(options.seed)
 {
-    for (auto& target : targets) {
-        auto name = target.name;
-        m_targets.try_emplace(std::move(name), std::move(target), Knowledge::Unknown, now);
-    }
+    for (auto const& target : targets)
+        m_targets.try_emplace(target.name, target, Knowledge::Unknown, now);
 }
 
 bool TargetGroup::isUsable(TargetRecord const& record) const
@@ -113,7 +111,8 @@
     return isHome || hasUnknown ? 0 : 1;
 }
 
-TargetGroup::Assessment const* TargetGroup::pickShortestQueue(std::vector<Assessment> const& candidates)
+TargetGroup::Assessment const* TargetGroup::pickShortestQueue(
+    std::vector<Assessment> const& candidates, uint8_t costClass)
 {
     Assessment const* best = nullptr;
     double bestCost = 0;
@@ -121,7 +120,7 @@
     for (auto const& candidate : candidates) {
         auto const& record = *candidate.record;
         auto const slowness = candidate.slowness < smallestSlowness ? 1 : candidate.slowness;
-        auto const cost = slowness * (record.inFlight() + 1) / record.target().slots;
+        auto const cost = slowness * (record.expectedWork(costClass, m_serviceTimes) + 1) / record.target().slots;
         if (!best || cost < bestCost) {
             best = &candidate;
             bestCost = cost;
@@ -149,18 +148,20 @@
 
 Core::Result<Pick> TargetGroup::pick(PickRequest const& request, Core::Instant now)
 {
+    auto const costClass = std::min<uint8_t>(request.costClass, costClassCount - 1);
     auto candidates = assess(now);
     std::erase_if(candidates, [&](Assessment const& candidate) {
         auto const& record = *candidate.record;
         auto const& excluded = request.excludedTargets;
-        return candidate.room() == 0 || (request.suspect && record.inFlight() > 0)
+        return candidate.room() == 0 || record.isBlockedByLong(costClass, m_serviceTimes)
+            || (request.suspect && record.inFlight() > 0)
             || (!request.version.empty() && record.target().version != request.version)
             || std::find(excluded.begin(), excluded.end(), record.target().name) != excluded.end();
     });
 
     Assessment const* best = nullptr;
     if (m_options.mode == DispatchMode::Home) {
-        best = pickShortestQueue(candidates);
+        best = pickShortestQueue(candidates, costClass);
     } else {
         bool const hasHealthy = std::any_of(
             candidates.begin(), candidates.end(), [](Assessment const& candidate) { return !candidate.isSuspect; });
@@ -173,7 +174,7 @@
             "no target of service " + m_key.service + " in " + m_key.availabilityZone + " has room" };
 
     auto& record = *best->record;
-    record.noteSent(std::min<uint8_t>(request.costClass, costClassCount - 1), m_serviceTimes, now);
+    record.noteSent(costClass, m_serviceTimes, now);
     if (request.suspect)
         record.setExclusive();
     return Pick { record.target().name, record.connectFresh() };
--- a/Libraries/LibRouting/TargetGroup.h
+++ b/Libraries/LibRouting/TargetGroup.h
@@ -23,7 +23,7 @@
 /// The targets of one group and what this daemon knows about them. Not thread safe: the owner serializes calls.
 class TargetGroup {
 public:
-    TargetGroup(GroupKey, std::vector<Target>, GroupOptions, Core::Instant now);
+    TargetGroup(GroupKey, std::vector<Target> const&, GroupOptions, Core::Instant now);
 
     GroupKey const& key() const { return m_key; }
     DispatchMode mode() const { return m_options.mode; }
@@ -86,7 +86,7 @@
     unsigned limitOf(Assessment const&, bool hasWarm, bool hasUnknown, Core::Instant now) const;
     bool isUsable(TargetRecord const&) const;
     bool isHolding(Core::Instant now) const;
-    Assessment const* pickShortestQueue(std::vector<Assessment> const&);
+    Assessment const* pickShortestQueue(std::vector<Assessment> const&, uint8_t costClass);
     Assessment const* pickPowerOfTwo(std::vector<Assessment> const&);
 
     GroupKey m_key;
--- a/Libraries/LibRouting/TargetRecord.cpp
+++ b/Libraries/LibRouting/TargetRecord.cpp
@@ -11,6 +11,9 @@
 // An answer later than this multiple of the typical time is no evidence that a cold target copes with its limit.
 constexpr int64_t slowAnswerInTypicals = 3;
 
+// A request is not sent ahead to a target on which only requests run that are longer than itself by this factor.
+constexpr int64_t longRequestInTypicals = 4;
+
 // How long a target's own word that it drains is believed without being repeated.
 constexpr Core::Duration drainingHintLife = std::chrono::seconds(5);
 
@@ -178,6 +181,28 @@
     }
 }
 
+double TargetRecord::expectedWork(uint8_t costClass, ServiceTimes const& times) const
+{
+    auto const own = times.typical(costClass);
+    double work = 0;
+    for (auto const& request : m_inFlight) {
+        auto const typical = times.typical(request.costClass);
+        bool const isKnown = own > Core::Duration::zero() && typical > Core::Duration::zero();
+        work += isKnown ? static_cast<double>(typical.count()) / static_cast<double>(own.count()) : 1;
+    }
+    return work;
+}
+
+bool TargetRecord::isBlockedByLong(uint8_t costClass, ServiceTimes const& times) const
+{
+    auto const own = times.typical(costClass);
+    auto const longRequests = std::count_if(m_inFlight.begin(), m_inFlight.end(), [&](auto const& request) {
+        return request.isRunning && own > Core::Duration::zero()
+            && times.typical(request.costClass) >= longRequestInTypicals * own;
+    });
+    return longRequests >= static_cast<std::ptrdiff_t>(m_target.slots);
+}
+
 double TargetRecord::slowness(ServiceTimes const& times, Core::Instant now) const
 {
     return m_speed.slowness(unitsSince(m_workSettledAt, times, now), m_inFlight.empty(), now);
--- a/Libraries/LibRouting/TargetRecord.h
+++ b/Libraries/LibRouting/TargetRecord.h
@@ -54,6 +54,12 @@
     /// How many times slower than typical the target is now.
     double slowness(ServiceTimes const&, Core::Instant now) const;
 
+    /// Expected work in flight, in typical service times of the given cost class.
+    double expectedWork(uint8_t costClass, ServiceTimes const&) const;
+
+    /// True when every slot runs a request that typically takes several times as long as the given cost class.
+    bool isBlockedByLong(uint8_t costClass, ServiceTimes const&) const;
+
     /// Requests that may be in flight when nothing is suspected.
     unsigned fullLimit() const;
 
--- /dev/null
+++ b/Tests/LibRouting/TestLoadReportScheduler.cpp
@@ -0,0 +1,116 @@
+#include <LibRouting/Routing.h>
+#include <catch2/catch.hpp>
+#include <functional>
+
+using namespace Comfreysail;
+using namespace Comfreysail::Routing;
+
+namespace {
+
+Core::Instant const start { std::chrono::seconds(100) };
+MeasurementLimits const limits {};
+
+GroupKey keyOf(size_t group) { return { "service-" + std::to_string(group), "pos-hall", 0 }; }
+
+size_t sizeOf(LoadReport const& report)
+{
+    auto bytes = reportMessageBytes;
+    for (auto const& entry : report.entries)
+        bytes += entry.size();
+    return bytes;
+}
+
+struct BudgetCase {
+    std::string description;
+    size_t groups;
+    std::function<GroupLoad(size_t group, size_t step)> load;
+    size_t receivedEachTick;
+};
+
+}
+
+// Measurement must stay within its budget whatever the targets do (P1): a tenfold group count, all targets slow, and
+// loads that flap at every tick are the cases that ask for the most reports.
+TEST_CASE("LoadReports_AnyLoad_StayWithinBytesAndMessages")
+{
+    auto const flapping = [](size_t group, size_t step) {
+        return GroupLoad { 10, (group + step) % 2 == 0 ? 20U : 2U, 0 };
+    };
+    auto const changing = [](size_t group, size_t step) {
+        return GroupLoad { 10, static_cast<unsigned>((group + step) % 12), 0 };
+    };
+    auto const slow = [](size_t, size_t) { return GroupLoad { 10, 20, 256 }; };
+    auto const example = GENERATE_COPY(values<BudgetCase>(
+        { { "today, changing", 3, changing, 0 }, { "ten times the targets, changing", 30, changing, 0 },
+            { "ten times the targets, all slow", 30, slow, 0 }, { "ten times the targets, flapping", 30, flapping, 0 },
+            { "two years, flapping", 300, flapping, 0 }, { "flood of received reports", 3, flapping, 2 } }));
+    CAPTURE(example.description);
+
+    LoadReportScheduler scheduler(limits, start);
+    for (size_t group = 0; group < example.groups; ++group)
+        scheduler.setSiblings(keyOf(group), { "b", "c", "d" });
+    size_t bytes = 0;
+    size_t messages = 0;
+    constexpr size_t ticks = 2000;
+    for (size_t step = 0; step < ticks; ++step) {
+        auto const now = start + step * std::chrono::milliseconds(5);
+        for (size_t group = 0; group < example.groups; ++group)
+            scheduler.noteLoad(keyOf(group), example.load(group, step));
+        for (size_t received = 0; received < example.receivedEachTick; ++received)
+            scheduler.noteReceived("b", { "a", { { keyOf(0), { 10, 20, 0 } } } }, now);
+        for (auto const& report : scheduler.due(now)) {
+            bytes += sizeOf(report);
+            ++messages;
+        }
+    }
+    constexpr double seconds = ticks * 0.005 + 0.2;
+    CHECK(static_cast<double>(bytes) <= limits.bytesPerSecond * seconds);
+    CHECK(static_cast<double>(messages) <= limits.messagesPerSecond * seconds);
+    CHECK((example.receivedEachTick > 0 || bytes > 0));
+}
+
+// Reports that cost more processor time than planned must stop, not slow the requests down.
+TEST_CASE("LoadReports_ProcessorTimeUsedUp_NothingIsSentUntilRecovered")
+{
+    LoadReportScheduler scheduler(limits, start);
+    scheduler.setSiblings(keyOf(0), { "b" });
+    scheduler.noteLoad(keyOf(0), { 10, 20, 0 });
+    scheduler.noteProcessorTime(limits.processorTimePerSecond * 2, start);
+    CHECK(scheduler.due(start + std::chrono::milliseconds(1500)).empty());
+    CHECK(scheduler.due(start + std::chrono::milliseconds(2500)).size() == 1);
+}
+
+// Without load pressure there is nothing to spill, so every report is waste.
+TEST_CASE("LoadReports_NoPressure_NothingIsSent")
+{
+    LoadReportScheduler scheduler(limits, start);
+    scheduler.setSiblings(keyOf(0), { "b" });
+    for (unsigned step = 0; step < 100; ++step) {
+        scheduler.noteLoad(keyOf(0), { 10, step % 9, 0 });
+        CHECK(scheduler.due(start + step * std::chrono::milliseconds(20)).empty());
+    }
+    // A sibling under pressure asks for reports by its own report.
+    auto const now = start + std::chrono::seconds(3);
+    scheduler.noteReceived("b", { "a", { { { keyOf(0).service, "arima", 0 }, { 10, 12, 0 } } } }, now);
+    CHECK(scheduler.due(now).size() == 1);
+}
+
+// With little budget left, repetitions and changes give way and the news of pressure still goes out.
+TEST_CASE("LoadReports_BudgetRunsShort_NewsOfPressureGoesFirst")
+{
+    LoadReportScheduler scheduler(limits, start);
+    for (size_t group = 0; group < 40; ++group) {
+        scheduler.setSiblings(keyOf(group), { "b-" + std::to_string(group) });
+        scheduler.noteLoad(keyOf(group), { 10, 12, 0 });
+    }
+    auto now = start;
+    for (int tick = 0; tick < 200; ++tick, now += std::chrono::milliseconds(5))
+        scheduler.due(now);
+    // All repeat an unchanged load; one is relieved.
+    scheduler.noteLoad(keyOf(39), { 10, 1, 0 });
+    now += std::chrono::milliseconds(100);
+    auto const reports = scheduler.due(now);
+    REQUIRE_FALSE(reports.empty());
+    CHECK(
+        std::any_of(reports.begin(), reports.end(), [](LoadReport const& report) { return report.daemon == "b-39"; }));
+}
--- /dev/null
+++ b/Tests/LibRouting/TestTargetGroup.cpp
@@ -0,0 +1,280 @@
+#include "GroupFixture.h"
+
+using namespace Comfreysail;
+using namespace Comfreysail::Routing;
+
+namespace {
+
+LoadHint const noHint {};
+LoadHint const saysCold { std::nullopt, std::nullopt, TargetState::Cold };
+LoadHint const saysIdle { 0, 100, TargetState::Serving };
+
+}
+
+// Counting the capacity differently in freeCapacity() and pick() would leave slots empty or queue requests twice.
+TEST_CASE_METHOD(GroupFixture, "TargetGroup_AllWarm_TakesSlotsAndOneAheadForEach")
+{
+    CHECK(m_group.freeCapacity(m_now) == 20);
+    CHECK(send(100) == 20);
+    for (size_t target = 0; target < 5; ++target)
+        CHECK(openOn(name(target)) == 4);
+    CHECK(m_group.freeCapacity(m_now) == 0);
+}
+
+// A cold target gets one request at a time however long it waits, and its full limit only after completions (P2).
+TEST_CASE_METHOD(GroupFixture, "ColdTarget_TimeWithoutCompletions_KeepsLimitOfOne")
+{
+    auto list = targets(6);
+    m_group.replaceTargets(list, m_now);
+    pass(3'600'000);
+    send(100);
+    CHECK(openOn("t5") == 1);
+
+    size_t completions = 0;
+    size_t lastLimit = 1;
+    while (openOn("t5") < 4 && completions < 1000) {
+        pass(10);
+        auto const open = openOn("t5");
+        CHECK(open <= lastLimit + 1);
+        lastLimit = open;
+        answerAll(SendOutcome::Answered, noHint);
+        completions += open;
+        send(100);
+    }
+    CHECK(openOn("t5") == 4);
+    CHECK(completions >= 4 + 8 + 12);
+}
+
+struct ColdCase {
+    std::string description;
+    SendOutcome outcome;
+    LoadHint hint;
+};
+
+// A target that turns cold without a warning must lose its full limit on the first answer that shows it.
+TEST_CASE_METHOD(GroupFixture, "WarmTarget_AnswerShowsRestart_BecomesCold")
+{
+    auto const example = GENERATE(values<ColdCase>({
+        { "says that it is cold", SendOutcome::Answered, saysCold },
+        { "sheds", SendOutcome::Shed, noHint },
+        { "lost its connection", SendOutcome::ConnectionLost, noHint },
+        { "has no listener", SendOutcome::ConnectFailed, noHint },
+    }));
+    CAPTURE(example.description);
+    send(1);
+    auto const target = m_open.front().target;
+    answer(target, example.outcome, example.hint);
+    CHECK(m_group.stateOf(target, m_now) == TargetState::Cold);
+    pass(1);
+    send(100);
+    CHECK(openOn(target) <= 1);
+}
+
+// A restart that the settings show (another port) must not inherit the limit of the old process.
+TEST_CASE_METHOD(GroupFixture, "WarmTarget_ReplacedByOtherProcess_BecomesCold")
+{
+    auto list = targets();
+    list[2].port = 81;
+    m_group.replaceTargets(list, m_now);
+    send(100);
+    CHECK(openOn("t2") == 1);
+}
+
+// Daemons that disagree about the home must not exceed the limit of a cold target together (P2).
+TEST_CASE_METHOD(GroupFixture, "ColdTarget_OldHomeNewHomeAndFallbacks_TogetherKeepLimit")
+{
+    m_group.replaceTargets(targets(6), m_now);
+    std::vector<TargetGroup> others;
+    for (size_t daemon = 0; daemon < 13; ++daemon) {
+        others.push_back(makeGroup(DispatchMode::Fallback));
+        others.back().replaceTargets(targets(6), m_now);
+        for (size_t target = 0; target < 5; ++target)
+            others.back().observe(name(target), TargetState::Serving, m_now);
+        others.back().observe("t5", TargetState::Cold, m_now);
+    }
+    GroupOptions const options { DispatchMode::Fallback, 2, std::chrono::seconds(2) };
+    TargetGroup newHome({ "orders", "pos-hall", 0 }, targets(6), options, m_now);
+    for (size_t target = 0; target < 5; ++target)
+        newHome.observe(name(target), TargetState::Serving, m_now);
+    newHome.setMode(DispatchMode::Home, m_now);
+
+    send(100);
+    auto cold = openOn("t5");
+    CHECK(cold == 1);
+    others.push_back(std::move(newHome));
+    auto const sendAll = [&] {
+        for (auto& group : others) {
+            while (true) {
+                auto const pick = group.pick({}, m_now);
+                if (Core::isError(pick))
+                    break;
+                cold += Core::valueOf(pick).target == "t5" ? 1 : 0;
+            }
+        }
+    };
+    sendAll();
+    pass(1'999);
+    sendAll();
+    CHECK(cold == 1);
+    pass(1);
+    sendAll();
+    CHECK(cold == 2);
+}
+
+// A fallback daemon that knows no warm target still serves, but with one request for each unknown target.
+TEST_CASE_METHOD(GroupFixture, "Fallback_OnlyUnknownTargets_UsesOneRequestEach")
+{
+    m_group = makeGroup(DispatchMode::Fallback);
+    CHECK(send(100) == 5);
+}
+
+// A target that stops answering must lose work before any of its late answers arrives.
+TEST_CASE_METHOD(GroupFixture, "SuddenSlowness_NoAnswerForSomeServiceTimes_TargetIsSuspect")
+{
+    send(10);
+    REQUIRE(openOn("t0") == 2);
+    for (int round = 0; round < 8; ++round) {
+        pass(10);
+        answerAll(SendOutcome::Answered, noHint, "t0");
+        send(8);
+    }
+    CHECK(m_group.isSuspect("t0", m_now));
+    auto const before = openOn("t0");
+    send(100);
+    CHECK(openOn("t0") == before);
+
+    // After its late answers and some time, the target gets a test request and then its share again.
+    while (openOn("t0") > 0)
+        answer("t0", SendOutcome::Answered, noHint);
+    pass(1'000);
+    CHECK_FALSE(m_group.isSuspect("t0", m_now));
+}
+
+// A target that answers errors at once has the shortest queue, and would get most of the work.
+TEST_CASE_METHOD(GroupFixture, "FastFailer_ErrorsWithinOneMillisecond_DoesNotAttractWork")
+{
+    auto const outcome = GENERATE(
+        SendOutcome::ServerError, SendOutcome::ConnectFailed, SendOutcome::ConnectionLost, SendOutcome::Shed);
+    size_t failed = 0;
+    for (int round = 0; round < 1000; ++round) {
+        pass(1);
+        while (openOn("t1") > 0) {
+            answer("t1", outcome, noHint);
+            ++failed;
+        }
+        if (round % 10 == 0)
+            answerAll(SendOutcome::Answered, noHint, "t1");
+        send(1);
+    }
+    CAPTURE(failed);
+    CHECK(failed < 20);
+}
+
+// The report of an idle target that is slow must not bring it work.
+TEST_CASE_METHOD(GroupFixture, "LyingReport_IdleWhileSlow_TargetIsSuspect")
+{
+    for (int round = 0; round < 30; ++round) {
+        send(10);
+        pass(10);
+        answerAll(SendOutcome::Answered, noHint, "t3");
+        if (round % 10 == 9 && openOn("t3") > 0)
+            answer("t3", SendOutcome::Answered, saysIdle);
+    }
+    CHECK(m_group.isSuspect("t3", m_now));
+}
+
+// The report of a busy or cold target that is neither must not keep it from its full limit for good.
+TEST_CASE_METHOD(GroupFixture, "LyingReport_ColdWhileFast_TargetStillReachesFullLimit")
+{
+    LoadHint const saysColdAndBusy { 1000, 1, TargetState::Cold };
+    for (int round = 0; round < 400; ++round) {
+        send(100);
+        pass(10);
+        while (openOn("t4") > 0)
+            answer("t4", SendOutcome::Answered, saysColdAndBusy);
+        answerAll(SendOutcome::Answered, noHint);
+    }
+    send(100);
+    CHECK(openOn("t4") == 4);
+}
+
+struct FloorCase {
+    size_t failing;
+    bool isIgnored;
+};
+
+// When most targets are suspect, avoiding them would overload the rest: the floor is half of the group.
+TEST_CASE_METHOD(GroupFixture, "Suspicion_MoreThanHalfOfGroup_IsIgnored")
+{
+    auto const example
+        = GENERATE(values<FloorCase>({ { 1, false }, { 2, false }, { 3, true }, { 4, true }, { 5, true } }));
+    CAPTURE(example.failing);
+    for (int round = 0; round < 4; ++round) {
+        send(20);
+        pass(10);
+        for (size_t target = 0; target < example.failing; ++target) {
+            while (openOn(name(target)) > 0)
+                answer(name(target), SendOutcome::ServerError, noHint);
+        }
+        answerAll(SendOutcome::Answered, noHint);
+    }
+    CHECK(m_group.isSuspect("t0", m_now) == !example.isIgnored);
+    CHECK(m_group.freeCapacity(m_now) == (example.isIgnored ? 20 : 20 - 4 * example.failing));
+}
+
+// A draining target or a zone that is out must get no new work at once (P3, P8).
+TEST_CASE_METHOD(GroupFixture, "DrainingTargetAndZoneOut_GetNoNewWork")
+{
+    m_group.markDraining("t1", m_now);
+    CHECK(send(100) == 16);
+    CHECK(openOn("t1") == 0);
+    answerAll(SendOutcome::Answered, noHint);
+
+    m_group.setAvailabilityZoneIn(false, m_now);
+    CHECK(m_group.freeCapacity(m_now) == 0);
+    CHECK(send(100) == 0);
+
+    // The targets return cold, so the work comes back by the ramp.
+    m_group.setAvailabilityZoneIn(true, m_now);
+    CHECK(send(100) == 4);
+}
+
+// With another request beside it, the second crash of a suspect request would have two possible causes.
+TEST_CASE_METHOD(GroupFixture, "SuspectRequest_RunsAloneOnItsTarget")
+{
+    send(4);
+    CHECK(send(1, { "", true, true, 0, {} }) == 1);
+    auto const target = m_open.back().target;
+    CHECK(send(100) == 12);
+    CHECK(openOn(target) == 1);
+    CHECK(send(1, { "", true, true, 0, {} }) == 0);
+}
+
+// A lookup that is sent ahead behind two downloads waits for seconds although other targets are free in milliseconds.
+TEST_CASE_METHOD(GroupFixture, "Lookup_SlotsOfTargetRunDownloads_IsNotSentAhead")
+{
+    PickRequest const download { "", true, false, 2, {} };
+    send(1, download);
+    pass(1'000);
+    answerAll(SendOutcome::Answered, noHint);
+    send(10, download);
+    CHECK(m_group.freeCapacity(m_now) == 10);
+    CHECK(send(100) == 0);
+}
+
+// Targets that already failed a request, and other versions, must not get it.
+TEST_CASE_METHOD(GroupFixture, "Pick_ExcludedTargetsAndVersions_AreLeftOut")
+{
+    CHECK(send(100, { "v2", true, false, 0, {} }) == 0);
+    CHECK(send(100, { "v1", true, false, 0, { "t0", "t1", "t2", "t3" } }) == 4);
+    CHECK(openOn("t4") == 4);
+}
+
+// The header comes from the target's process and may hold anything.
+TEST_CASE("LoadHint_MalformedHeader_LeavesFieldsEmpty")
+{
+    CHECK(parseLoadHint("in_flight=3;limit=8;state=cold") == LoadHint { 3, 8, TargetState::Cold });
+    CHECK(parseLoadHint("") == LoadHint {});
+    CHECK(parseLoadHint("in_flight=-1;limit=99999999999;state=fine;=;x") == LoadHint {});
+    CHECK(parseLoadHint(" state = draining ; in_flight=7x") == LoadHint { {}, {}, TargetState::Draining });
+}
