--- a/Libraries/LibRouting/LoadReportScheduler.cpp
+++ b/Libraries/LibRouting/LoadReportScheduler.cpp
@@ -63,20 +63,6 @@
     m_budget.charge(bytes, Core::Duration::zero(), now);
 }
 
-void LoadReportScheduler::noteCarried(GroupKey const& key, std::string const& daemon, size_t bytes, Core::Instant now)
-{
-    m_budget.charge(bytes, Core::Duration::zero(), now);
-    auto const group = m_groups.find(key);
-    if (group == m_groups.end())
-        return;
-    auto const recipient = group->second.recipients.find(daemon);
-    if (recipient == group->second.recipients.end())
-        return;
-    recipient->second.lastSent = group->second.load;
-    recipient->second.sentAt = now;
-    recipient->second.wasSent = true;
-}
-
 void LoadReportScheduler::noteProcessorTime(Core::Duration time, Core::Instant now) { m_budget.charge(0, time, now); }
 
 LoadReportScheduler::Urgency LoadReportScheduler::urgencyOf(
--- a/Libraries/LibRouting/LoadReportScheduler.h
+++ b/Libraries/LibRouting/LoadReportScheduler.h
@@ -28,9 +28,6 @@
     /// A report about a sibling group arrived from this daemon. Its bytes are charged in full.
     void noteReceived(std::string const& daemon, LoadReport const&, Core::Instant now);
 
-    /// A report for the daemon was carried on an answer, at a cost of this many bytes.
-    void noteCarried(GroupKey const&, std::string const& daemon, size_t bytes, Core::Instant now);
-
     /// Processor time that reports took: due(), encoding, sending, decoding.
     void noteProcessorTime(Core::Duration, Core::Instant now);
 
--- a/Tests/LibAdmission/TestAdmissionQueue.cpp
+++ b/Tests/LibAdmission/TestAdmissionQueue.cpp
@@ -154,6 +154,22 @@
     CHECK(refused["c"] > 1000);
 }
 
+// A request that no target takes is put back again and again; its department must not seem to use more and more.
+TEST_CASE_METHOD(AdmissionFixture, "PutBack_ManyTimes_DepartmentKeepsItsShare")
+{
+    enqueue("a");
+    for (int count = 0; count < 100; ++count) {
+        for (auto const& admitted : m_queue.dispatch(10, m_now))
+            m_queue.putBack(admitted.ticket, m_now);
+    }
+    for (int count = 0; count < 5; ++count)
+        enqueue("b");
+    CHECK(m_queue.dispatch(6, m_now).size() == 6);
+    m_now += std::chrono::seconds(1);
+    enqueue("a");
+    CHECK(m_queue.dispatch(4, m_now).size() == 1);
+}
+
 // Spilled, cancelled and returned requests must leave no trace in the counts, or capacity leaks away.
 TEST_CASE_METHOD(AdmissionFixture, "CancelPutBackAndSpill_CountsStayExact")
 {
--- a/Tests/LibRouting/TestHomeSelection.cpp
+++ b/Tests/LibRouting/TestHomeSelection.cpp
@@ -22,7 +22,8 @@
 // A home in another zone costs a hop across zones for every request.
 TEST_CASE("HomeOf_ZoneHasDaemon_StaysInZone")
 {
-    CHECK(homeOf({ "s", "z2", 0 }, candidates) == "d");
+    for (unsigned shard = 0; shard < 50; ++shard)
+        CHECK(homeOf({ "s", "z2", shard }, candidates) == "d");
     CHECK(homeOf({ "s", "z3", 0 }, candidates).has_value());
     CHECK_FALSE(homeOf({ "s", "z1", 0 }, {}).has_value());
 }
--- a/Tests/LibRouting/TestTargetGroup.cpp
+++ b/Tests/LibRouting/TestTargetGroup.cpp
@@ -150,6 +150,32 @@
     CHECK_FALSE(m_group.isSuspect("t0", m_now));
 }
 
+// A target that turns cold and says nothing shows it by slow answers only; it must lose most of its work (P2).
+TEST_CASE_METHOD(GroupFixture, "UnannouncedCold_AnswersFiveTimesSlower_TargetLosesWork")
+{
+    size_t onSlowTarget = 0;
+    size_t answered = 0;
+    for (int round = 0; round < 200; ++round) {
+        send(10 - m_open.size());
+        // The first 200 ms are allowed for detection.
+        if (round >= 20)
+            onSlowTarget = std::max(onSlowTarget, openOn("t2"));
+        pass(10);
+        answered += m_open.size() - openOn("t2");
+        answerAll(SendOutcome::Answered, noHint, "t2");
+        if (round % 5 != 4)
+            continue;
+        for (size_t slot = std::min<size_t>(2, openOn("t2")); slot > 0; --slot)
+            answer("t2", SendOutcome::Answered, noHint);
+    }
+    CHECK(m_group.stateOf("t2", m_now) == TargetState::Serving);
+    CHECK(onSlowTarget <= 1);
+    CHECK(answered > 1500);
+    // Not even when all others are full.
+    send(100);
+    CHECK(openOn("t2") == 1);
+}
+
 // A target that answers errors at once has the shortest queue, and would get most of the work.
 TEST_CASE_METHOD(GroupFixture, "FastFailer_ErrorsWithinOneMillisecond_DoesNotAttractWork")
 {
