LibSettings, LibStore: Add the settings tree and the store port

The daemon and its control part call these interfaces, so they come first: the settings tree with its checks, effective values, difference and adoption rules, the store port with an in-memory store, and the conditional changes of settings and moves.

--- /dev/null
+++ b/Libraries/LibSettings/AvailabilityZone.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace Comfreysail::Settings {
+
+/// Whether operators want new work sent to an availability zone.
+enum class ZoneState : uint8_t { In, Out };
+
+struct AvailabilityZone {
+    ZoneState state { ZoneState::In };
+    std::string region;
+
+    bool operator==(AvailabilityZone const&) const = default;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibSettings/FetchStep.cpp
@@ -0,0 +1,36 @@
+#include <LibSettings/FetchStep.h>
+#include <algorithm>
+
+namespace Comfreysail::Settings {
+
+FetchStep nextFetch(FetchState const& state, Core::Instant now)
+{
+    auto const storeDue = state.storeReadStartedAt ? *state.storeReadStartedAt + storeReadInterval : now;
+    if (storeDue <= now && !state.isStoreReadPending)
+        return { FetchStep::Action::ReadStore, {}, now };
+
+    auto next = std::max(storeDue, now + storeReadInterval / 10);
+    FetchState::PeerRevision const* best = nullptr;
+    std::string const* bestName = nullptr;
+    for (auto const& [name, peer] : state.peers) {
+        if (peer.revision <= state.inForce)
+            continue;
+        if (peer.askedAt && now < *peer.askedAt + peerReplyTimeout) {
+            // One request at a time: the reply carries the whole text.
+            return { FetchStep::Action::Wait, {}, std::min(next, *peer.askedAt + peerReplyTimeout) };
+        }
+        // The peer that was asked longest ago comes first, so that a silent one does not block the others.
+        auto const isBetter = !best
+            || (peer.askedAt && best->askedAt ? *peer.askedAt < *best->askedAt : !peer.askedAt && best->askedAt)
+            || (!peer.askedAt && !best->askedAt && peer.revision > best->revision);
+        if (isBetter) {
+            best = &peer;
+            bestName = &name;
+        }
+    }
+    if (best)
+        return { FetchStep::Action::AskPeer, *bestName, now };
+    return { FetchStep::Action::Wait, {}, next };
+}
+
+}
--- /dev/null
+++ b/Libraries/LibSettings/Service.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <LibSettings/Route.h>
+#include <LibSettings/SettingKey.h>
+#include <LibSettings/Version.h>
+#include <map>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace Comfreysail::Settings {
+
+struct Service {
+    std::vector<std::string> hosts;
+    std::map<std::string, Route, std::less<>> routes;
+    std::map<std::string, Version, std::less<>> versions;
+    LevelValues values;
+
+    bool operator==(Service const&) const = default;
+
+    /// The route with the longest prefix that covers the path; one that names the method wins over "*". The first
+    /// member is the route's name. nullptr when no route matches.
+    std::pair<std::string const, Route> const* routeFor(std::string_view method, std::string_view path) const;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibStore/ChangeMove.cpp
@@ -0,0 +1,166 @@
+#include <LibStore/CallbackTask.h>
+#include <LibStore/ChangeMove.h>
+
+namespace Comfreysail::Store {
+
+namespace {
+
+// Each attempt that finds a conflict means that another change of the same row took effect.
+constexpr int maxAttempts = 5;
+
+bool hasSameDefinition(MoveRow const& first, MoveRow const& second)
+{
+    return first.kind == second.kind && first.service == second.service && first.from == second.from
+        && first.to == second.to && first.start == second.start && first.finishBy == second.finishBy;
+}
+
+Core::Error storeError(std::optional<Core::Error> const& lostAnswer, Core::Error const& latest)
+{
+    if (lostAnswer)
+        return { Core::ErrorKind::StoreOutcomeUnknown, "the change may have taken effect: " + lostAnswer->detail };
+    return latest;
+}
+
+CallbackTask runDeclare(StorePort port, MoveRow move, Core::Instant deadline, Callback<MoveResult> callback)
+{
+    if (auto const faults = move.faults(); !faults.empty()) {
+        Core::Error error { Core::ErrorKind::InvalidSettings, {} };
+        for (auto const& fault : faults)
+            error.detail += (error.detail.empty() ? "" : "\n") + fault;
+        callback(std::move(error));
+        co_return;
+    }
+    std::vector<Operation> const operations {
+        { Operation::Kind::Put, std::string(movesTable), move.id, absentVersion, move.toJson() },
+    };
+    std::optional<Core::Error> lostAnswer;
+    Core::Error latest;
+    // The insert is conditional on an absent row, so sending it again after a lost response is harmless.
+    for (int attempt = 0; attempt < maxAttempts; ++attempt) {
+        auto const sent = co_await transact(port, operations, deadline);
+        if (Core::isError(sent)) {
+            latest = Core::errorOf(sent);
+            if (latest.kind == Core::ErrorKind::StoreOutcomeUnknown)
+                lostAnswer = latest;
+            if (!lostAnswer)
+                break;
+            continue;
+        }
+        auto const& result = Core::valueOf(sent);
+        if (result.isCommitted()) {
+            move.rowVersion = result.versions.at(0);
+            callback(MoveResult { MoveResult::Outcome::Changed, std::move(move) });
+            co_return;
+        }
+        auto const& conflict = result.conflicts[0];
+        auto present = MoveRow::fromRow({ move.id, conflict.version, conflict.value });
+        if (Core::isError(present)) {
+            callback(Core::errorOf(present));
+            co_return;
+        }
+        auto row = Core::takeValue(std::move(present));
+        auto outcome = MoveResult::Outcome::Conflict;
+        if (row.changeId == move.changeId && lostAnswer)
+            outcome = MoveResult::Outcome::Changed;
+        else if (row.changeId == move.changeId || hasSameDefinition(row, move))
+            outcome = MoveResult::Outcome::AlreadyThere;
+        callback(MoveResult { outcome, std::move(row) });
+        co_return;
+    }
+    callback(storeError(lostAnswer, latest));
+}
+
+CallbackTask runChange(StorePort port, MoveChange change, Core::Instant deadline, Callback<MoveResult> callback)
+{
+    std::optional<Core::Error> lostAnswer;
+    uint64_t versionOfLostWrite = 0;
+    Core::Error latest { Core::ErrorKind::RevisionConflict,
+        "move " + change.id + " is changed by others all the time" };
+    for (int attempt = 0; attempt < maxAttempts; ++attempt) {
+        auto const read = co_await readRow(port, std::string(movesTable), change.id, deadline);
+        if (Core::isError(read)) {
+            latest = Core::errorOf(read);
+            if (!lostAnswer)
+                break;
+            continue;
+        }
+        auto const& present = Core::valueOf(read);
+        if (!present) {
+            callback(Core::Error { Core::ErrorKind::RowNotFound, "move " + change.id + " does not exist" });
+            co_return;
+        }
+        auto parsed = MoveRow::fromRow(*present);
+        if (Core::isError(parsed)) {
+            callback(Core::errorOf(parsed));
+            co_return;
+        }
+        auto move = Core::takeValue(std::move(parsed));
+        if (move.state == change.state) {
+            auto const isOwn = lostAnswer && move.changeId == change.changeId;
+            auto const outcome = isOwn ? MoveResult::Outcome::Changed : MoveResult::Outcome::AlreadyThere;
+            callback(MoveResult { outcome, std::move(move) });
+            co_return;
+        }
+        // After a lost response a newer row may hide this change's own write, which must not be made a second time.
+        auto const mayHideOwnWrite = lostAnswer && move.rowVersion != versionOfLostWrite;
+        if (mayHideOwnWrite || !isAllowedTransition(move.state, change.state)) {
+            callback(MoveResult { MoveResult::Outcome::Conflict, std::move(move) });
+            co_return;
+        }
+        auto const expected = move.rowVersion;
+        move.state = change.state;
+        move.reason = change.reason;
+        move.changeId = change.changeId;
+        std::vector<Operation> const operations {
+            { Operation::Kind::Put, std::string(movesTable), change.id, static_cast<int64_t>(expected), move.toJson() },
+        };
+        auto const sent = co_await transact(port, operations, deadline);
+        if (Core::isError(sent)) {
+            latest = Core::errorOf(sent);
+            if (latest.kind == Core::ErrorKind::StoreOutcomeUnknown) {
+                lostAnswer = latest;
+                versionOfLostWrite = expected;
+            }
+            if (!lostAnswer)
+                break;
+            continue;
+        }
+        if (Core::valueOf(sent).isCommitted()) {
+            move.rowVersion = Core::valueOf(sent).versions.at(0);
+            callback(MoveResult { MoveResult::Outcome::Changed, std::move(move) });
+            co_return;
+        }
+    }
+    callback(storeError(lostAnswer, latest));
+}
+
+}
+
+void readMoves(StorePort const& port, Core::Instant deadline, Callback<MoveList> callback)
+{
+    port.scan(std::string(movesTable), "", deadline, [callback = std::move(callback)](auto result) {
+        if (Core::isError(result))
+            return callback(Core::errorOf(result));
+        MoveList list;
+        for (auto const& row : Core::valueOf(result)) {
+            auto move = MoveRow::fromRow(row);
+            if (Core::isError(move))
+                list.unreadable.push_back(Core::errorOf(move));
+            else
+                list.moves.push_back(Core::takeValue(std::move(move)));
+        }
+        callback(std::move(list));
+    });
+}
+
+void declareMove(StorePort const& port, MoveRow move, Core::Instant deadline, Callback<MoveResult> callback)
+{
+    runDeclare(port, std::move(move), deadline, std::move(callback));
+}
+
+void changeMove(StorePort const& port, MoveChange change, Core::Instant deadline, Callback<MoveResult> callback)
+{
+    runChange(port, std::move(change), deadline, std::move(callback));
+}
+
+}
--- /dev/null
+++ b/Libraries/LibStore/SettingsHead.cpp
@@ -0,0 +1,54 @@
+#include <LibStore/ChangeRow.h>
+#include <LibStore/JsonFields.h>
+#include <LibStore/SettingsHead.h>
+
+namespace Comfreysail::Store {
+
+namespace {
+
+boost::json::object toObject(Settings::SettingsRevision const& revision)
+{
+    return { { "revision", static_cast<int64_t>(revision.revision) }, { "change", revision.changeId },
+        { "hash", revision.hash } };
+}
+
+Settings::SettingsRevision revisionFrom(JsonFields& fields)
+{
+    return { static_cast<uint64_t>(fields.integer("revision", 1)), fields.text("change"), fields.text("hash") };
+}
+
+}
+
+std::string SettingsHead::toJson() const
+{
+    auto object = toObject(revision);
+    if (toml)
+        object["toml"] = *toml;
+    if (objectName)
+        object["object"] = *objectName;
+    return boost::json::serialize(object);
+}
+
+Core::Result<SettingsHead> SettingsHead::fromRow(Row const& row)
+{
+    JsonFields fields(row.value, "row settings/head");
+    SettingsHead head { revisionFrom(fields), fields.optionalText("toml"), fields.optionalText("object"), row.version };
+    if (!head.toml && !head.objectName)
+        fields.addFault("has neither field \"toml\" nor field \"object\"");
+    if (fields.error())
+        return *fields.error();
+    return head;
+}
+
+std::string ChangeRow::toJson() const { return boost::json::serialize(toObject(revision)); }
+
+Core::Result<ChangeRow> ChangeRow::fromJson(std::string const& json)
+{
+    JsonFields fields(json, "row of table changes");
+    ChangeRow row { revisionFrom(fields) };
+    if (fields.error())
+        return *fields.error();
+    return row;
+}
+
+}
