LibStore: Add the HTTP client of the platform protocol

Cause: the daemon and the tool reach the table service over HTTP/JSON. Change: kept-alive connections with a deadline for each call and a bounded answer. A failure is StoreUnavailable only where no byte of a write can have reached the platform, else StoreOutcomeUnknown.

--- /dev/null
+++ b/Libraries/LibStore/HttpStoreClient.cpp
@@ -0,0 +1,158 @@
+#include <LibStore/HttpStoreClient.h>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <sys/socket.h>
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace Comfreysail::Store {
+
+namespace {
+
+constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
+
+Core::Error failure(bool isUnknown, std::string const& detail)
+{
+    return { isUnknown ? Core::ErrorKind::StoreOutcomeUnknown : Core::ErrorKind::StoreUnavailable, detail };
+}
+
+}
+
+/// A connection stays on the strand it was made on, which its timer also uses.
+struct StoreConnection {
+    explicit StoreConnection(asio::any_io_executor executor)
+        : stream(std::move(executor))
+    {
+    }
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    Core::Instant idleSince;
+
+    /// Whether the platform closed it, or sent what nobody asked for, while it was idle.
+    bool isSpoiled()
+    {
+        char byte = 0;
+        auto const count = ::recv(stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return count >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+    }
+};
+
+HttpStoreClient::HttpStoreClient(asio::any_io_executor executor, HttpStoreOptions options)
+    : m_executor(std::move(executor))
+    , m_options(std::move(options))
+{
+}
+
+HttpStoreClient::~HttpStoreClient() = default;
+
+void HttpStoreClient::send(Request request, std::function<void(Core::Result<Answer>)> callback)
+{
+    auto connection = takeIdle();
+    asio::any_io_executor executor
+        = connection ? connection->stream.get_executor() : asio::any_io_executor(asio::make_strand(m_executor));
+    asio::co_spawn(
+        executor,
+        [](std::shared_ptr<HttpStoreClient> self, ConnectionPointer idle, Request pending,
+            std::function<void(Core::Result<Answer>)> done) -> asio::awaitable<void> {
+            auto answer = co_await self->exchange(std::move(idle), pending);
+            done(std::move(answer));
+        }(shared_from_this(), std::move(connection), std::move(request), std::move(callback)),
+        asio::detached);
+}
+
+asio::awaitable<Core::Result<HttpStoreClient::Answer>> HttpStoreClient::exchange(
+    ConnectionPointer connection, Request const& request)
+{
+    auto const hadIdle = connection != nullptr;
+    for (auto useIdle = hadIdle;; useIdle = false) {
+        auto const executor = co_await asio::this_coro::executor;
+        if (!useIdle) {
+            connection = std::make_unique<StoreConnection>(executor);
+            boost::system::error_code code;
+            auto const address = asio::ip::make_address(m_options.address, code);
+            if (code)
+                co_return failure(false, "not an IP address: " + m_options.address);
+            connection->stream.expires_at(request.deadline);
+            auto const [connectCode] = co_await connection->stream.async_connect({ address, m_options.port }, useTuple);
+            if (connectCode)
+                co_return failure(false, "cannot connect to the platform: " + connectCode.message());
+            connection->stream.socket().set_option(asio::ip::tcp::no_delay(true), code);
+        }
+        bool mayHaveArrived = false;
+        auto answer = co_await exchangeOn(*connection, request, mayHaveArrived);
+        if (!Core::isError(answer)) {
+            if (connection->stream.socket().is_open())
+                giveBack(std::move(connection));
+            co_return answer;
+        }
+        // The platform may close a connection in the moment it is reused. Only a request that had no effect, or that
+        // has none anyway, is sent again.
+        auto const maySendAgain = !mayHaveArrived || !request.isWrite;
+        if (!useIdle || !maySendAgain || Core::monotonicNow() >= request.deadline)
+            co_return answer;
+    }
+}
+
+asio::awaitable<Core::Result<HttpStoreClient::Answer>> HttpStoreClient::exchangeOn(
+    StoreConnection& connection, Request const& request, bool& mayHaveArrived)
+{
+    http::request<http::string_body> message { request.method, request.target, 11, request.body };
+    message.set(http::field::host, m_options.address + ':' + std::to_string(m_options.port));
+    if (!request.body.empty())
+        message.set(http::field::content_type, "application/json");
+    message.prepare_payload();
+
+    connection.stream.expires_at(request.deadline);
+    auto const [writeCode, written] = co_await http::async_write(connection.stream, message, useTuple);
+    mayHaveArrived = written > 0;
+    if (writeCode)
+        co_return failure(request.isWrite && mayHaveArrived, "cannot send to the platform: " + writeCode.message());
+
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(m_options.maxAnswerBytes);
+    auto const [readCode, unused] = co_await http::async_read(connection.stream, connection.buffer, parser, useTuple);
+    if (readCode)
+        co_return failure(request.isWrite, "no answer from the platform: " + readCode.message());
+    auto response = parser.release();
+    if (!response.keep_alive() || connection.buffer.size() != 0)
+        connection.stream.close();
+    else
+        connection.stream.expires_never();
+    auto const status = response.result_int();
+    if (status >= 500)
+        co_return failure(request.isWrite, "the platform answered " + std::to_string(status));
+    co_return Answer { status, std::move(response.body()) };
+}
+
+HttpStoreClient::ConnectionPointer HttpStoreClient::takeIdle()
+{
+    auto const now = Core::monotonicNow();
+    std::lock_guard const lock(m_mutex);
+    while (!m_idle.empty()) {
+        auto connection = std::move(m_idle.back());
+        m_idle.pop_back();
+        if (now - connection->idleSince < m_options.maxIdleTime && !connection->isSpoiled())
+            return connection;
+    }
+    return {};
+}
+
+void HttpStoreClient::giveBack(ConnectionPointer connection)
+{
+    connection->idleSince = Core::monotonicNow();
+    std::lock_guard const lock(m_mutex);
+    if (m_idle.size() < m_options.maxIdleConnections)
+        m_idle.push_back(std::move(connection));
+}
+
+}
