LibRetry, LibTelemetry: Add retry decisions, crash quarantine and metrics

Cause: the request path needs one place that decides retries and refuses requests that crash targets, and operators need histograms for each department and class.

Change: LibRetry has a token budget earned by calls, the retry decision, request fingerprints and the quarantine. A suspect that gets a response is cleared, because a frequent request that shares targets with the harmful one would otherwise be refused.

Measured: with 11 nested levels and failure rates of 1%, 5%, 20% and 100% at each level, sends stay at or below 1.2 times the calls at every depth (5,000 calls, seed 7).

--- /dev/null
+++ b/Libraries/LibRetry/Quarantine.cpp
@@ -0,0 +1,91 @@
+#include <LibRetry/Quarantine.h>
+#include <algorithm>
+
+namespace Comfreysail::Retry {
+
+Quarantine::Quarantine(QuarantineLimits limits)
+    : m_limits(limits)
+{
+}
+
+void Quarantine::noteCrash(CrashReport const& report, Core::Instant now)
+{
+    auto& entry = findOrInsert(report.fingerprint, now);
+    auto& instances = entry.targetInstances;
+    bool const isKnown = std::find(instances.begin(), instances.end(), report.targetInstance) != instances.end();
+    if (isKnown || instances.size() >= m_limits.crashesUntilRefused)
+        return;
+    instances.push_back(report.targetInstance);
+    entry.lastCrash = now;
+    m_byAge.splice(m_byAge.end(), m_byAge, entry.position);
+}
+
+void Quarantine::noteAnswered(uint64_t fingerprint, Core::Instant now)
+{
+    if (isSuspect(fingerprint, now))
+        erase(fingerprint);
+}
+
+bool Quarantine::isRefused(uint64_t fingerprint, Core::Instant now) const
+{
+    auto const* entry = findCurrent(fingerprint, now);
+    return entry && entry->targetInstances.size() >= m_limits.crashesUntilRefused;
+}
+
+bool Quarantine::isSuspect(uint64_t fingerprint, Core::Instant now) const
+{
+    auto const* entry = findCurrent(fingerprint, now);
+    return entry && entry->targetInstances.size() < m_limits.crashesUntilRefused;
+}
+
+std::vector<QuarantineEntry> Quarantine::entries(Core::Instant now) const
+{
+    std::vector<QuarantineEntry> result;
+    for (auto fingerprint : m_byAge) {
+        auto const* entry = findCurrent(fingerprint, now);
+        if (!entry)
+            continue;
+        result.push_back({ .fingerprint = fingerprint,
+            .targetInstances = entry->targetInstances,
+            .isRefused = entry->targetInstances.size() >= m_limits.crashesUntilRefused });
+    }
+    return result;
+}
+
+Quarantine::Entry const* Quarantine::findCurrent(uint64_t fingerprint, Core::Instant now) const
+{
+    auto const found = m_entries.find(fingerprint);
+    if (found == m_entries.end() || isExpired(found->second, now))
+        return nullptr;
+    return &found->second;
+}
+
+Quarantine::Entry& Quarantine::findOrInsert(uint64_t fingerprint, Core::Instant now)
+{
+    auto found = m_entries.find(fingerprint);
+    if (found != m_entries.end() && isExpired(found->second, now)) {
+        erase(fingerprint);
+        found = m_entries.end();
+    }
+    if (found != m_entries.end())
+        return found->second;
+
+    if (m_entries.size() >= m_limits.maxEntries)
+        erase(m_byAge.front());
+    auto const position = m_byAge.insert(m_byAge.end(), fingerprint);
+    return m_entries.emplace(fingerprint, Entry { {}, now, position }).first->second;
+}
+
+void Quarantine::erase(uint64_t fingerprint)
+{
+    auto const found = m_entries.find(fingerprint);
+    m_byAge.erase(found->second.position);
+    m_entries.erase(found);
+}
+
+bool Quarantine::isExpired(Entry const& entry, Core::Instant now) const
+{
+    return now - entry.lastCrash >= m_limits.retention;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibRetry/Retry.h
@@ -0,0 +1,8 @@
+#pragma once
+
+/// Public header of LibRetry: decides whether a failed request is sent again, and refuses requests that crash targets.
+
+#include <LibRetry/Fingerprint.h>
+#include <LibRetry/Quarantine.h>
+#include <LibRetry/RetryBudget.h>
+#include <LibRetry/RetryDecision.h>
--- /dev/null
+++ b/Libraries/LibTelemetry/Telemetry.h
@@ -0,0 +1,7 @@
+#pragma once
+
+/// Public header of LibTelemetry: counters, gauges, latency histograms, their Prometheus text, and event log lines.
+
+#include <LibTelemetry/EventLine.h>
+#include <LibTelemetry/LatencyHistogram.h>
+#include <LibTelemetry/MetricRegistry.h>
--- a/Meta/lint.sh
+++ b/Meta/lint.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Runs clang-tidy on every source file that people write. A file is skipped when it and everything that it includes
 # are unchanged since its last clean run; the compiler's dependency list decides, as it does for the build.
+# Clang reports defaulted operator<=> under -Wzero-as-null-pointer-constant, so only GCC makes that check.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 source Meta/common.sh
@@ -21,7 +22,7 @@
     if [ -f "$stamp" ] && [ "$(cat "$stamp")" = "$key" ]; then
         return 0
     fi
-    if clang-tidy -p "$build_directory" --quiet "$file" 2>"$stamp.errors"; then
+    if clang-tidy -p "$build_directory" --quiet --extra-arg=-Wno-zero-as-null-pointer-constant "$file" 2>"$stamp.errors"; then
         echo "$key" >"$stamp"
         rm -f "$stamp.errors"
     else
--- /dev/null
+++ b/Tests/LibRetry/TestRetryDecision.cpp
@@ -0,0 +1,145 @@
+#include <LibRetry/Retry.h>
+#include <catch2/catch.hpp>
+#include <random>
+
+using namespace Comfreysail;
+using namespace Comfreysail::Retry;
+using Core::ErrorKind;
+
+namespace {
+
+Core::Instant at(int milliseconds) { return Core::Instant(std::chrono::milliseconds(milliseconds)); }
+
+struct DecisionCase {
+    std::string_view name;
+    FailedAttempt failed;
+    RetryReason expected;
+};
+
+FailedAttempt failedWith(ErrorKind error, bool isIdempotent)
+{
+    return { .error = error,
+        .isIdempotent = isIdempotent,
+        .deadline = at(1000),
+        .expectedTime = std::chrono::milliseconds(10) };
+}
+
+std::vector<DecisionCase> decisionCases()
+{
+    std::vector<DecisionCase> cases {
+        { "order after connect failure", failedWith(ErrorKind::ConnectFailed, false), RetryReason::Allowed },
+        { "order shed by the target", failedWith(ErrorKind::TargetShedRequest, false), RetryReason::Allowed },
+        { "order after lost connection", failedWith(ErrorKind::ConnectionLost, false), RetryReason::NotIdempotent },
+        { "lookup after lost connection", failedWith(ErrorKind::ConnectionLost, true), RetryReason::Allowed },
+        { "lookup after its deadline", failedWith(ErrorKind::DeadlineExceeded, true), RetryReason::ErrorNotRetryable },
+        { "quarantined lookup", failedWith(ErrorKind::RequestQuarantined, true), RetryReason::ErrorNotRetryable },
+    };
+    auto lookup = failedWith(ErrorKind::ConnectionLost, true);
+    auto with = [&](std::string_view name, RetryReason expected, auto change) {
+        auto failed = lookup;
+        change(failed);
+        cases.push_back({ name, failed, expected });
+    };
+    with("third failure", RetryReason::TooManyAttempts, [](auto& failed) { failed.attempt = 3; });
+    with("second failure", RetryReason::Allowed, [](auto& failed) { failed.attempt = 2; });
+    with("streamed body", RetryReason::BodyNotReplayable, [](auto& failed) { failed.isBodyReplayable = false; });
+    with("answer started", RetryReason::AnswerStarted, [](auto& failed) { failed.hasAnswerStarted = true; });
+    with("deeper layer", RetryReason::DeeperLayerDecided, [](auto& failed) { failed.isFromDeeperLayer = true; });
+    with("deadline near", RetryReason::DeadlineTooNear, [](auto& failed) { failed.deadline = at(5); });
+    return cases;
+}
+
+}
+
+// Guards against a second run of a non-idempotent request and against retries that cannot help.
+TEST_CASE("DecideRetry_FailureCases_FollowTheTable")
+{
+    for (auto const& example : decisionCases()) {
+        CAPTURE(example.name);
+        RetryBudget budget;
+        auto const decision = decideRetry(example.failed, budget, at(0));
+        CHECK(decision.reason == example.expected);
+        CHECK(decision.shouldRetry == (example.expected == RetryReason::Allowed));
+        CHECK(budget.tokens() == Approx(example.expected == RetryReason::Allowed ? 1 : 2));
+    }
+}
+
+// A zone whose targets fail together would otherwise use up all retries of a request.
+TEST_CASE("DecideRetry_ZoneAtFault_LeavesTheZone")
+{
+    RetryBudget budget;
+    auto failed = failedWith(ErrorKind::ConnectFailed, true);
+    CHECK_FALSE(decideRetry(failed, budget, at(0)).shouldLeaveZone);
+    failed.isZoneSuspect = true;
+    CHECK(decideRetry(failed, budget, at(0)).shouldLeaveZone);
+}
+
+// Without a budget every failing call would be sent three times; nested 11 deep that multiplies.
+TEST_CASE("RetryBudget_EveryCallFailing_SendsStayWithinTwelveTenths")
+{
+    constexpr int calls = 1000;
+    RetryBudget budget;
+    int sends = 0;
+    for (int call = 0; call < calls; ++call) {
+        budget.noteCall();
+        ++sends;
+        auto failed = failedWith(ErrorKind::ConnectionLost, true);
+        while (decideRetry(failed, budget, at(0)).shouldRetry) {
+            ++sends;
+            ++failed.attempt;
+        }
+    }
+    CHECK(sends <= calls * 12 / 10);
+    CHECK(sends > calls);
+}
+
+namespace {
+
+struct NestedCall {
+    std::vector<RetryBudget>& budgets; // One budget for each level.
+    std::vector<long>& sends;
+    std::mt19937& generator;
+    double failureRate;
+
+    /// Returns true when the call at this level succeeds; sets hasDeeperError when a deeper daemon gave up.
+    bool run(size_t level, bool& hasDeeperError)
+    {
+        budgets[level].noteCall();
+        FailedAttempt failed = failedWith(ErrorKind::ConnectionLost, true);
+        for (;;) {
+            ++sends[level];
+            bool const failsHere = std::bernoulli_distribution(failureRate)(generator);
+            bool childError = false;
+            if (!failsHere && (level + 1 == budgets.size() || run(level + 1, childError)))
+                return true;
+            failed.isFromDeeperLayer = !failsHere;
+            if (!decideRetry(failed, budgets[level], at(0)).shouldRetry) {
+                hasDeeperError = true;
+                return false;
+            }
+            ++failed.attempt;
+        }
+    }
+};
+
+}
+
+// If every layer retried, sends would grow exponentially with depth.
+TEST_CASE("RetryBudget_ElevenLevelsEachFailing_SendsAtEveryDepthStayWithinTwelveTenths")
+{
+    constexpr size_t depth = 11;
+    constexpr long calls = 5000;
+    auto const failureRate = GENERATE(0.01, 0.05, 0.2, 1.0);
+    std::vector<RetryBudget> budgets(depth);
+    std::vector<long> sends(depth, 0);
+    std::mt19937 generator(7); // NOLINT: a fixed seed makes the run repeatable.
+    NestedCall nested { budgets, sends, generator, failureRate };
+    for (long call = 0; call < calls; ++call) {
+        bool hasDeeperError = false;
+        nested.run(0, hasDeeperError);
+    }
+    for (size_t level = 0; level < depth; ++level) {
+        CAPTURE(failureRate, level, sends[level]);
+        CHECK(sends[level] <= calls * 12 / 10);
+    }
+}
--- /dev/null
+++ b/Tests/LibTelemetry/TestTelemetry.cpp
@@ -0,0 +1,83 @@
+#include <LibTelemetry/Telemetry.h>
+#include <catch2/catch.hpp>
+#include <thread>
+
+using namespace Comfreysail;
+using namespace Comfreysail::Telemetry;
+
+// A value with a line break or a quote would split one event into two lines or hide a field.
+TEST_CASE("EventLine_SpecialCharacters_StayOnOneLine")
+{
+    EventLine line("request");
+    line.add("id", "a1").add("path", "/a b").add("detail", "x\n\"y\"").add("attempt", 2).add("ms", 1.5).add("ok", true);
+    CHECK(line.text() == "event=request id=a1 path=\"/a b\" detail=\"x\\x0a\\\"y\\\"\" attempt=2 ms=1.500 ok=true");
+    CHECK(EventLine("x").add("empty", "").text() == "event=x empty=\"\"");
+}
+
+// Buckets of 20% ratio are the stated precision of percentiles.
+TEST_CASE("LatencyHistogram_KnownSamples_PercentilesWithinOneBucket")
+{
+    LatencyHistogram histogram;
+    for (int milliseconds = 1; milliseconds <= 1000; ++milliseconds)
+        histogram.add(std::chrono::milliseconds(milliseconds));
+    CHECK(histogram.count() == 1000);
+    for (double share : { 0.5, 0.9, 0.99 }) {
+        CAPTURE(share);
+        auto const microseconds = static_cast<double>(histogram.percentile(share).count());
+        CHECK(microseconds >= share * 1e6);
+        CHECK(microseconds <= share * 1e6 * 1.21);
+    }
+    CHECK(histogram.sumSeconds() == Approx(500.5));
+}
+
+// Samples outside the axis must be counted, or a stall of minutes would not show.
+TEST_CASE("LatencyHistogram_SamplesOutsideRange_AreCounted")
+{
+    LatencyHistogram histogram;
+    histogram.add(Core::Duration(1));
+    histogram.add(std::chrono::minutes(5));
+    CHECK(histogram.count() == 2);
+    CHECK(histogram.percentile(1.0) == std::chrono::seconds(120));
+    CHECK(LatencyHistogram().percentile(0.99) == Core::Duration(0));
+}
+
+// Workers add samples without a lock; a lost sample would make the count too low.
+TEST_CASE("LatencyHistogram_ConcurrentAdds_LoseNothing")
+{
+    LatencyHistogram histogram;
+    std::vector<std::jthread> workers;
+    workers.reserve(4);
+    for (int worker = 0; worker < 4; ++worker)
+        workers.emplace_back([&] {
+            for (int sample = 0; sample < 10'000; ++sample)
+                histogram.add(std::chrono::milliseconds(3));
+        });
+    workers.clear();
+    CHECK(histogram.count() == 40'000);
+}
+
+// Scrapers reject a page with unescaped label values or without the +Inf bucket.
+TEST_CASE("MetricRegistry_PrometheusText_FollowsTheFormat")
+{
+    MetricRegistry registry;
+    registry.counter("comfreysail_requests_total", { { "department", "a\"b" } }).add(3);
+    registry.gauge("comfreysail_ready").set(1);
+    registry.histogram("comfreysail_queue_seconds", { { "class", "lookup" } }).add(std::chrono::milliseconds(2));
+    auto const text = registry.prometheusText();
+    CHECK(text.find("# TYPE comfreysail_requests_total counter\n") != std::string::npos);
+    CHECK(text.find("comfreysail_requests_total{department=\"a\\\"b\"} 3\n") != std::string::npos);
+    CHECK(text.find("comfreysail_ready 1\n") != std::string::npos);
+    CHECK(text.find("comfreysail_queue_seconds_bucket{class=\"lookup\",le=\"+Inf\"} 1\n") != std::string::npos);
+    CHECK(text.find("comfreysail_queue_seconds_count{class=\"lookup\"} 1\n") != std::string::npos);
+}
+
+// A caller that invents department names must not grow the daemon.
+TEST_CASE("MetricRegistry_ManyLabelValues_SeriesStayBounded")
+{
+    MetricRegistry registry;
+    for (int department = 0; department < 10'000; ++department)
+        registry.counter("comfreysail_requests_total", { { "department", std::to_string(department) } }).add();
+    CHECK(registry.seriesCount() == MetricRegistry::maxSeriesPerMetric);
+    auto& other = registry.counter("comfreysail_requests_total", { { "department", "other" } });
+    CHECK(other.value() == 10'000 - (MetricRegistry::maxSeriesPerMetric - 1));
+}
