LibRetry: Test nested retries where only the deepest level fails

Cause: the nested test passed even with retries at every layer, so it could not fail. When all levels fail alike, the budgets of the lower levels already bound the sends.

Change: the table gains rows in which only the deepest of 11 levels fails.

Conclusion: the test now guards the rule that it names.

--- a/Tests/LibRetry/TestRetryDecision.cpp
+++ b/Tests/LibRetry/TestRetryDecision.cpp
@@ -95,11 +95,16 @@
 
 namespace {
 
+struct NestedFailures {
+    double rateAtDeepestLevel;
+    double rateAtOtherLevels;
+};
+
 struct NestedCall {
     std::vector<RetryBudget>& budgets; // One budget for each level.
     std::vector<long>& sends;
     std::mt19937& generator;
-    double failureRate;
+    NestedFailures failures;
 
     /// Returns true when the call at this level succeeds; sets hasDeeperError when a deeper daemon gave up.
     bool run(size_t level, bool& hasDeeperError)
@@ -108,9 +113,11 @@
         FailedAttempt failed = failedWith(ErrorKind::ConnectionLost, true);
         for (;;) {
             ++sends[level];
+            bool const isDeepest = level + 1 == budgets.size();
+            auto const failureRate = isDeepest ? failures.rateAtDeepestLevel : failures.rateAtOtherLevels;
             bool const failsHere = std::bernoulli_distribution(failureRate)(generator);
             bool childError = false;
-            if (!failsHere && (level + 1 == budgets.size() || run(level + 1, childError)))
+            if (!failsHere && (isDeepest || run(level + 1, childError)))
                 return true;
             failed.isFromDeeperLayer = !failsHere;
             if (!decideRetry(failed, budgets[level], at(0)).shouldRetry) {
@@ -124,22 +131,23 @@
 
 }
 
-// If every layer retried, sends would grow exponentially with depth.
+// If every layer retried, sends would grow exponentially with depth; worst when only the deepest level fails.
 TEST_CASE("RetryBudget_ElevenLevelsEachFailing_SendsAtEveryDepthStayWithinTwelveTenths")
 {
     constexpr size_t depth = 11;
     constexpr long calls = 5000;
-    auto const failureRate = GENERATE(0.01, 0.05, 0.2, 1.0);
+    auto const failures
+        = GENERATE(values<NestedFailures>({ { 0.01, 0.01 }, { 0.2, 0.2 }, { 1, 1 }, { 0.5, 0 }, { 1, 0 } }));
     std::vector<RetryBudget> budgets(depth);
     std::vector<long> sends(depth, 0);
     std::mt19937 generator(7); // NOLINT: a fixed seed makes the run repeatable.
-    NestedCall nested { budgets, sends, generator, failureRate };
+    NestedCall nested { budgets, sends, generator, failures };
     for (long call = 0; call < calls; ++call) {
         bool hasDeeperError = false;
         nested.run(0, hasDeeperError);
     }
     for (size_t level = 0; level < depth; ++level) {
-        CAPTURE(failureRate, level, sends[level]);
+        CAPTURE(failures.rateAtDeepestLevel, failures.rateAtOtherLevels, level, sends[level]);
         CHECK(sends[level] <= calls * 12 / 10);
     }
 }
