--- /dev/null
+++ b/Libraries/LibClaims/ClaimStep.cpp
@@ -0,0 +1,209 @@
+#include <LibClaims/ClaimStep.h>
+
+namespace Comfreysail::Claims {
+
+namespace {
+
+using Core::Error;
+using Core::ErrorKind;
+
+ClaimStep unchanged(ClaimState const& state) { return { state, StoreAction::None, std::nullopt }; }
+
+ClaimStep ended(ClaimState state, std::optional<ClaimAnswer> answer = std::nullopt)
+{
+    state.phase = ClaimPhase::Ended;
+    if (state.isAnswered)
+        answer.reset();
+    state.isAnswered = true;
+    return { std::move(state), StoreAction::None, std::move(answer) };
+}
+
+ClaimStep released(ClaimState state, std::optional<ClaimAnswer> answer = std::nullopt)
+{
+    state.phase = ClaimPhase::Releasing;
+    state.row.state = RowState::Released;
+    if (state.isAnswered)
+        answer.reset();
+    state.isAnswered = true;
+    return { std::move(state), StoreAction::Write, std::move(answer) };
+}
+
+ClaimStep readAgain(ClaimState state)
+{
+    state.phase = ClaimPhase::Resolving;
+    return { std::move(state), StoreAction::Read, std::nullopt };
+}
+
+/// The row in the store is not ours and does not stand in the way. While the caller waits, the insert is repeated
+/// under the same claim id, so that a copy of it that is still under way and this one make one row. Otherwise the row
+/// is only read until no copy can arrive any more.
+ClaimStep insertAgain(ClaimState state, int64_t expectedVersion, Core::WallTime now)
+{
+    if (state.isAnswered) {
+        bool const mayStillArrive = state.mayBeWritten && now <= state.row.startBy + state.row.timeout;
+        return mayStillArrive ? readAgain(std::move(state)) : ended(std::move(state));
+    }
+    state.phase = ClaimPhase::Inserting;
+    state.expectedVersion = expectedVersion;
+    return { std::move(state), StoreAction::Write, std::nullopt };
+}
+
+ClaimStep afterOwnRow(ClaimState state, int64_t version, Core::WallTime now)
+{
+    state.expectedVersion = version;
+    state.mayBeWritten = false;
+    if (state.isAnswered)
+        return released(std::move(state));
+    if (now > state.row.startBy)
+        return released(std::move(state),
+            Error { ErrorKind::StartDeadlinePassed, "the claim was recorded after the start deadline" });
+    state.phase = ClaimPhase::Held;
+    state.isAnswered = true;
+    auto const startBy = state.row.startBy;
+    return { std::move(state), StoreAction::None, ClaimGranted { startBy } };
+}
+
+ClaimStep afterFoundRow(ClaimState state, VersionedRow const& found, Core::WallTime now)
+{
+    if (found.row.claimId == state.row.claimId)
+        return afterOwnRow(std::move(state), found.version, now);
+    // An insert of ours that is still under way conflicts with any other version than the one that it expects.
+    if (found.version != state.expectedVersion)
+        state.mayBeWritten = false;
+    auto answer = answerRepeatedSend(found.row, state.row.fingerprint, now);
+    if (std::holds_alternative<MayClaimAgain>(answer))
+        return insertAgain(std::move(state), found.version, now);
+    if (auto const* stored = std::get_if<StoredStatus>(&answer))
+        return ended(std::move(state), *stored);
+    return ended(std::move(state), std::get<Error>(std::move(answer)));
+}
+
+ClaimStep afterUnreadableRow(ClaimState state)
+{
+    return ended(std::move(state), Error { ErrorKind::ClaimOutcomeUnknown, "the claim row cannot be decoded" });
+}
+
+ClaimStep inserting(ClaimState state, ClaimEvent const& event, Core::WallTime now)
+{
+    if (auto const* committed = std::get_if<WriteCommitted>(&event))
+        return afterOwnRow(std::move(state), committed->version, now);
+    if (auto const* conflicted = std::get_if<WriteConflicted>(&event)) {
+        if (conflicted->isUnreadable)
+            return afterUnreadableRow(std::move(state));
+        if (conflicted->found)
+            return afterFoundRow(std::move(state), *conflicted->found, now);
+        return insertAgain(std::move(state), 0, now);
+    }
+    if (std::holds_alternative<CommitAnswerLost>(event)) {
+        state.mayBeWritten = true;
+        return readAgain(std::move(state));
+    }
+    if (std::holds_alternative<StoreDown>(event)) {
+        if (!state.mayBeWritten)
+            return ended(
+                std::move(state), Error { ErrorKind::ClaimStoreUnavailable, "the claim could not be written" });
+        return readAgain(std::move(state));
+    }
+    return unchanged(state);
+}
+
+ClaimStep resolving(ClaimState state, ClaimEvent const& event, Core::WallTime now)
+{
+    if (std::holds_alternative<StoreDown>(event))
+        return readAgain(std::move(state));
+    auto const* read = std::get_if<RowRead>(&event);
+    if (!read)
+        return unchanged(state);
+    if (read->isUnreadable)
+        return afterUnreadableRow(std::move(state));
+    if (read->found)
+        return afterFoundRow(std::move(state), *read->found, now);
+    return insertAgain(std::move(state), 0, now);
+}
+
+ClaimStep waitEnded(ClaimState state)
+{
+    // After this answer the request is never sent, so "not run" stays true even if the row appears later.
+    auto const answer = Error { ErrorKind::ClaimStoreUnavailable, "the claim was not recorded in time" };
+    if (state.isAnswered)
+        return unchanged(state);
+    state.isAnswered = true;
+    return { std::move(state), StoreAction::None, answer };
+}
+
+ClaimStep held(ClaimState state, ClaimEvent const& event, Core::WallTime now)
+{
+    if (std::holds_alternative<SendStarted>(event)) {
+        if (now > state.row.startBy) {
+            state.isAnswered = false;
+            return released(std::move(state),
+                Error { ErrorKind::StartDeadlinePassed, "the holder reached the send after the start deadline" });
+        }
+        state.phase = ClaimPhase::Sent;
+        return unchanged(state);
+    }
+    if (std::holds_alternative<GaveUp>(event))
+        return released(std::move(state));
+    return unchanged(state);
+}
+
+ClaimStep sent(ClaimState state, ClaimEvent const& event)
+{
+    if (auto const* answer = std::get_if<AnswerReceived>(&event)) {
+        state.phase = ClaimPhase::Finishing;
+        state.row.state = RowState::Finished;
+        state.row.status = answer->status;
+        return { std::move(state), StoreAction::Write, std::nullopt };
+    }
+    if (std::holds_alternative<SendDidNotRun>(event)) {
+        state.phase = ClaimPhase::Held;
+        return unchanged(state);
+    }
+    if (std::holds_alternative<SendOutcomeUnknown>(event))
+        return ended(std::move(state));
+    return unchanged(state);
+}
+
+/// Finishing and releasing: the write is repeated until it is known to have taken effect or to be impossible.
+ClaimStep closing(ClaimState state, ClaimEvent const& event)
+{
+    if (std::holds_alternative<WriteCommitted>(event))
+        return ended(std::move(state));
+    if (std::holds_alternative<CommitAnswerLost>(event) || std::holds_alternative<StoreDown>(event))
+        return { std::move(state), StoreAction::Write, std::nullopt };
+    // A conflict means that an earlier copy of this write took effect, or that the row expired and was replaced.
+    if (std::holds_alternative<WriteConflicted>(event))
+        return ended(std::move(state));
+    return unchanged(state);
+}
+
+}
+
+ClaimStep firstStep(ClaimRow row)
+{
+    ClaimState state;
+    state.row = std::move(row);
+    return { std::move(state), StoreAction::Write, std::nullopt };
+}
+
+ClaimStep nextStep(ClaimState const& state, ClaimEvent const& event, Core::WallTime now)
+{
+    switch (state.phase) {
+    case ClaimPhase::Inserting:
+        return std::holds_alternative<WaitEnded>(event) ? waitEnded(state) : inserting(state, event, now);
+    case ClaimPhase::Resolving:
+        return std::holds_alternative<WaitEnded>(event) ? waitEnded(state) : resolving(state, event, now);
+    case ClaimPhase::Held:
+        return held(state, event, now);
+    case ClaimPhase::Sent:
+        return sent(state, event);
+    case ClaimPhase::Finishing:
+    case ClaimPhase::Releasing:
+        return closing(state, event);
+    case ClaimPhase::Ended:
+        break;
+    }
+    return unchanged(state);
+}
+
+}
