--- /dev/null
+++ b/Libraries/LibHTTP/Asio.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace Comfreysail::HTTP {
+
+namespace asio = boost::asio;
+using asio::awaitable;
+using tcp = asio::ip::tcp;
+using ErrorCode = boost::system::error_code;
+
+/// Completion token for coroutines: the error code is part of the result, nothing is thrown.
+inline constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
+
+}
--- /dev/null
+++ b/Libraries/LibHTTP/MessageReader.cpp
@@ -0,0 +1,210 @@
+#include <LibHTTP/MessageReader.h>
+
+#include <LibHTTP/HeadCheck.h>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+
+namespace Comfreysail::HTTP {
+
+namespace {
+
+namespace http = boost::beast::http;
+using Core::Error;
+using Core::ErrorKind;
+using Core::Result;
+
+constexpr size_t headReadSize = 4 * 1024;
+constexpr size_t bodyReadSize = 64 * 1024;
+constexpr unsigned maxInterimResponses = 8;
+
+template<MessageKind> struct KindOfError;
+template<> struct KindOfError<MessageKind::Request> {
+    static constexpr auto malformed = ErrorKind::MalformedRequest;
+    static constexpr auto lost = ErrorKind::CallerGone;
+};
+template<> struct KindOfError<MessageKind::Response> {
+    static constexpr auto malformed = ErrorKind::InvalidTargetAnswer;
+    static constexpr auto lost = ErrorKind::ConnectionLost;
+};
+
+template<MessageKind kind> struct Parser {
+    static constexpr bool isRequest = kind == MessageKind::Request;
+    using BeastParser = http::parser<isRequest, http::buffer_body>;
+
+    Parser(Stream& stream, ReadLimits limits)
+        : stream(stream)
+        , limits(limits)
+    {
+        restart();
+    }
+
+    void restart()
+    {
+        beast = std::make_unique<BeastParser>();
+        // The head was measured before Beast sees it; twice the limit leaves room for trailers and chunk extensions.
+        beast->header_limit(static_cast<uint32_t>(limits.maxHeaderBytes * 2));
+        // The daemon counts the body itself, because the limit depends on the department.
+        beast->body_limit(boost::none);
+    }
+
+    /// Receives and parses a head. Returns an error or nothing.
+    awaitable<Result<Core::Empty>> parseHead()
+    {
+        HeadScanner scanner;
+        size_t headSize = 0;
+        while (true) {
+            auto const scanned = scanner.scan(stream.received.data());
+            if (isError(scanned))
+                co_return Error { KindOfError<kind>::malformed, errorOf(scanned).detail };
+            headSize = valueOf(scanned);
+            auto const known = headSize > 0 ? headSize : stream.received.data().size();
+            if (known > limits.maxHeaderBytes) {
+                auto const tooLarge = isRequest ? ErrorKind::HeaderTooLarge : ErrorKind::InvalidTargetAnswer;
+                co_return Error { tooLarge, "the head is larger than " + std::to_string(limits.maxHeaderBytes) };
+            }
+            if (headSize > 0)
+                break;
+            auto const error = co_await stream.receive(headReadSize);
+            if (error)
+                co_return Error { KindOfError<kind>::lost, error.message() };
+        }
+        auto const head = stream.received.data().substr(0, headSize);
+        auto checked = checkHead(head, kind);
+        if (isError(checked))
+            co_return checked;
+        ErrorCode error;
+        beast->put(asio::buffer(head.data(), head.size()), error);
+        if ((error && error != http::error::need_buffer) || !beast->is_header_done())
+            co_return Error { KindOfError<kind>::malformed, error.message() };
+        stream.received.consume(headSize);
+        co_return Core::Empty {};
+    }
+
+    awaitable<Result<size_t>> parseBody(std::span<char> into)
+    {
+        while (!beast->is_done()) {
+            auto const available = stream.received.data();
+            if (!available.empty()) {
+                auto& body = beast->get().body();
+                body.data = into.data();
+                body.size = into.size();
+                body.more = true;
+                ErrorCode error;
+                auto const used = beast->put(asio::buffer(available.data(), available.size()), error);
+                stream.received.consume(used);
+                if (error && error != http::error::need_buffer && error != http::error::need_more)
+                    co_return Error { KindOfError<kind>::malformed, error.message() };
+                if (auto const produced = into.size() - body.size; produced > 0)
+                    co_return produced;
+                if (used > 0)
+                    continue;
+            }
+            if (stream.received.data().size() >= limits.maxHeaderBytes + bodyReadSize)
+                co_return Error { KindOfError<kind>::malformed, "a chunk header or trailer is too large" };
+            auto const error = co_await stream.receive(bodyReadSize);
+            if (error)
+                co_return Error { KindOfError<kind>::lost, error.message() };
+        }
+        co_return size_t { 0 };
+    }
+
+    void copyFields(Fields& fields) const
+    {
+        for (auto const& field : beast->get().base()) {
+            auto const name = field.name_string();
+            auto const value = field.value();
+            fields.add({ name.data(), name.size() }, { value.data(), value.size() });
+        }
+    }
+
+    std::optional<uint64_t> contentLength() const
+    {
+        auto const length = beast->content_length();
+        return length ? std::optional<uint64_t>(*length) : std::nullopt;
+    }
+
+    Stream& stream;
+    ReadLimits limits;
+    std::unique_ptr<BeastParser> beast;
+};
+
+}
+
+struct RequestReader::State : Parser<MessageKind::Request> {
+    using Parser::Parser;
+};
+
+RequestReader::RequestReader(Stream& stream, ReadLimits limits)
+    : m_state(std::make_unique<State>(stream, limits))
+{
+}
+
+RequestReader::~RequestReader() = default;
+
+awaitable<Result<RequestHead>> RequestReader::readHead()
+{
+    auto parsed = co_await m_state->parseHead();
+    if (isError(parsed))
+        co_return errorOf(parsed);
+    auto const& message = m_state->beast->get();
+    RequestHead head;
+    head.method = std::string(message.method_string());
+    head.target = std::string(message.target());
+    m_state->copyFields(head.fields);
+    head.contentLength = m_state->contentLength();
+    head.chunked = m_state->beast->chunked();
+    head.keepAlive = m_state->beast->keep_alive();
+    head.expectsContinue = head.fields.containsToken("Expect", "100-continue");
+    co_return head;
+}
+
+awaitable<Result<size_t>> RequestReader::readBody(std::span<char> into) { return m_state->parseBody(into); }
+
+bool RequestReader::isFinished() const { return m_state->beast->is_done(); }
+
+struct ResponseReader::State : Parser<MessageKind::Response> {
+    using Parser::Parser;
+};
+
+ResponseReader::ResponseReader(Stream& stream, ReadLimits limits)
+    : m_state(std::make_unique<State>(stream, limits))
+{
+}
+
+ResponseReader::~ResponseReader() = default;
+
+awaitable<Result<ResponseHead>> ResponseReader::readHead(std::string_view requestMethod)
+{
+    bool const isHead = requestMethod == "HEAD";
+    for (unsigned interim = 0; interim < maxInterimResponses; ++interim) {
+        m_state->restart();
+        m_state->beast->skip(isHead);
+        auto parsed = co_await m_state->parseHead();
+        if (isError(parsed))
+            co_return errorOf(parsed);
+        auto const& message = m_state->beast->get();
+        ResponseHead head;
+        head.status = message.result_int();
+        if (head.status == 101)
+            co_return Error { ErrorKind::InvalidTargetAnswer, "the target switched protocols without being asked" };
+        if (head.status < 200)
+            continue;
+        head.reason = std::string(message.reason());
+        m_state->copyFields(head.fields);
+        head.contentLength = m_state->contentLength();
+        head.chunked = m_state->beast->chunked();
+        head.keepAlive = m_state->beast->keep_alive();
+        bool const hasBody = !isHead && !statusForbidsBody(head.status);
+        if (hasBody && !head.chunked && !head.contentLength)
+            co_return Error { ErrorKind::InvalidTargetAnswer,
+                "the answer has neither Content-Length nor chunked Transfer-Encoding" };
+        co_return head;
+    }
+    co_return Error { ErrorKind::InvalidTargetAnswer, "the target sent too many interim answers" };
+}
+
+awaitable<Result<size_t>> ResponseReader::readBody(std::span<char> into) { return m_state->parseBody(into); }
+
+bool ResponseReader::isFinished() const { return m_state->beast->is_done(); }
+
+}
--- /dev/null
+++ b/Libraries/LibHTTP/MessageReader.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <LibCore/Result.h>
+#include <LibHTTP/Message.h>
+#include <LibHTTP/Stream.h>
+#include <memory>
+#include <span>
+
+namespace Comfreysail::HTTP {
+
+struct ReadLimits {
+    size_t maxHeaderBytes { 16 * 1024 };
+};
+
+/// Reads one request from a connection: the head, then the body in pieces. Use a new reader for each request.
+class RequestReader {
+public:
+    RequestReader(Stream&, ReadLimits);
+    ~RequestReader();
+    RequestReader(RequestReader const&) = delete;
+    RequestReader& operator=(RequestReader const&) = delete;
+
+    /// Errors: MalformedRequest, HeaderTooLarge, CallerGone.
+    awaitable<Core::Result<RequestHead>> readHead();
+
+    /// The next piece of the body, 0 at its end. Errors: MalformedRequest (chunk framing), CallerGone.
+    awaitable<Core::Result<size_t>> readBody(std::span<char> into);
+
+    bool isFinished() const;
+
+private:
+    struct State;
+    std::unique_ptr<State> m_state;
+};
+
+/// Reads one response from a connection. Interim responses (1xx) are skipped.
+class ResponseReader {
+public:
+    ResponseReader(Stream&, ReadLimits);
+    ~ResponseReader();
+    ResponseReader(ResponseReader const&) = delete;
+    ResponseReader& operator=(ResponseReader const&) = delete;
+
+    /// `requestMethod` decides whether the response has a body. A body whose end only the end of the connection would
+    /// mark is refused, because a short one could not be told from a complete one.
+    /// Errors: InvalidTargetAnswer, ConnectionLost.
+    awaitable<Core::Result<ResponseHead>> readHead(std::string_view requestMethod);
+
+    /// The next piece of the body, 0 at its end. Errors: InvalidTargetAnswer (chunk framing), ConnectionLost.
+    awaitable<Core::Result<size_t>> readBody(std::span<char> into);
+
+    bool isFinished() const;
+
+private:
+    struct State;
+    std::unique_ptr<State> m_state;
+};
+
+}
