FakePlatform: Add the test double of the platform

Cause: tests and the demonstration run need the platform's table service, object store and VM list without the platform. Change: a program that speaks the platform protocol on loopback, with fault modes up, down, hang, slow and lose_answers, and counts of calls. A fault may be limited to a number of requests ("count").

--- /dev/null
+++ b/Tests/Fakes/FakePlatform/PlatformServer.cpp
@@ -0,0 +1,171 @@
+#include "PlatformServer.h"
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace Comfreysail::Fakes {
+
+namespace {
+
+constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
+constexpr size_t maxBodyBytes = 64 * 1024 * 1024;
+constexpr std::chrono::milliseconds hangCheckInterval { 10 };
+
+asio::awaitable<void> wait(std::chrono::milliseconds delay)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor, delay);
+    co_await timer.async_wait(useTuple);
+}
+
+}
+
+PlatformServer::PlatformServer(asio::io_context& context, Endpoint main, std::optional<Endpoint> control)
+    : m_context(context)
+    , m_main(std::move(main))
+    , m_control(std::move(control))
+    , m_mainAcceptor(context)
+    , m_controlAcceptor(context)
+{
+}
+
+void PlatformServer::start()
+{
+    open(m_mainAcceptor, m_main);
+    if (m_control)
+        open(m_controlAcceptor, *m_control);
+}
+
+void PlatformServer::stop()
+{
+    m_isStopping = true;
+    m_mainAcceptor.close();
+    m_controlAcceptor.close();
+    m_context.stop();
+}
+
+void PlatformServer::open(Acceptor& acceptor, Endpoint& endpoint)
+{
+    acceptor.open(endpoint.protocol());
+    acceptor.set_option(asio::socket_base::reuse_address(true));
+    acceptor.bind(endpoint);
+    acceptor.listen();
+    endpoint = acceptor.local_endpoint();
+    asio::co_spawn(m_context, accept(acceptor, &acceptor == &m_controlAcceptor), asio::detached);
+}
+
+asio::awaitable<void> PlatformServer::accept(Acceptor& acceptor, bool isControl)
+{
+    while (acceptor.is_open()) {
+        auto [code, socket] = co_await acceptor.async_accept(useTuple);
+        if (code == asio::error::operation_aborted)
+            co_return;
+        if (code) {
+            // Out of file descriptors, usually; accepting again at once would take all processor time.
+            co_await wait(hangCheckInterval);
+            continue;
+        }
+        boost::system::error_code ignored;
+        socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+        auto stream = std::make_shared<Stream>(std::move(socket));
+        if (!isControl) {
+            std::erase_if(m_connections, [](auto const& connection) { return connection.expired(); });
+            m_connections.push_back(stream);
+        }
+        asio::co_spawn(m_context, serve(std::move(stream), isControl), asio::detached);
+    }
+}
+
+asio::awaitable<void> PlatformServer::serve(std::shared_ptr<Stream> stream, bool isControl)
+{
+    beast::flat_buffer buffer;
+    while (stream->socket().is_open()) {
+        http::request_parser<http::string_body> parser;
+        parser.body_limit(maxBodyBytes);
+        auto const [readCode, unused] = co_await http::async_read(*stream, buffer, parser, useTuple);
+        if (readCode)
+            co_return;
+        auto const request = parser.release();
+        std::string const method(request.method_string());
+        std::string const target(request.target());
+        auto reply = control(method, target, request.body());
+        if (!reply && !isControl)
+            reply = co_await answer(method, target, request.body());
+        if (!reply)
+            co_return;
+        http::response<http::string_body> response { static_cast<http::status>(reply->status), 11,
+            std::move(reply->body) };
+        response.set(http::field::content_type, "application/json");
+        response.keep_alive(request.keep_alive());
+        response.prepare_payload();
+        auto const [writeCode, written] = co_await http::async_write(*stream, response, useTuple);
+        if (writeCode || !request.keep_alive())
+            co_return;
+    }
+}
+
+/// std::nullopt: close the connection.
+asio::awaitable<std::optional<PlatformCalls::Answer>> PlatformServer::answer(
+    std::string method, std::string target, std::string body)
+{
+    switch (m_faults.take()) {
+    case FaultSwitch::Mode::Down:
+        co_return std::nullopt;
+    case FaultSwitch::Mode::Hang:
+        while (m_faults.mode == FaultSwitch::Mode::Hang)
+            co_await wait(hangCheckInterval);
+        co_return std::nullopt;
+    case FaultSwitch::Mode::Slow:
+        co_await wait(m_faults.delay);
+        break;
+    case FaultSwitch::Mode::LoseAnswers: {
+        auto reply = m_calls.run(method, target, body);
+        if (PlatformCalls::isWrite(method))
+            co_return std::nullopt;
+        co_return reply;
+    }
+    case FaultSwitch::Mode::Up:
+        break;
+    }
+    co_return m_calls.run(method, target, body);
+}
+
+std::optional<PlatformCalls::Answer> PlatformServer::control(
+    std::string_view method, std::string_view target, std::string const& body)
+{
+    if (target == "/stats" && method == "GET")
+        return PlatformCalls::Answer { 200, m_calls.stats(m_faults.modeName()) };
+    if (target != "/faults" || method != "POST")
+        return {};
+    auto const faults = FaultSwitch::fromJson(body);
+    if (!faults)
+        return PlatformCalls::Answer { 400, R"({"error":"mode must be up, down, hang, slow or lose_answers"})" };
+    setFaults(*faults);
+    return PlatformCalls::Answer { 200, m_calls.stats(m_faults.modeName()) };
+}
+
+void PlatformServer::setFaults(FaultSwitch faults)
+{
+    m_faults = faults;
+    if (!m_control)
+        return;
+    if (m_faults.mode == FaultSwitch::Mode::Down) {
+        m_mainAcceptor.close();
+        for (auto const& connection : m_connections) {
+            if (auto stream = connection.lock())
+                stream->close();
+        }
+        m_connections.clear();
+    } else if (!m_mainAcceptor.is_open() && !m_isStopping) {
+        open(m_mainAcceptor, m_main);
+    }
+}
+
+}
