--- a/Libraries/LibStore/HttpStoreClient.cpp
+++ b/Libraries/LibStore/HttpCaller.cpp
@@ -1,4 +1,4 @@
-#include <LibStore/HttpStoreClient.h>
+#include <LibStore/HttpCaller.h>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -38,7 +38,7 @@
     beast::flat_buffer buffer;
     Core::Instant idleSince;
 
-    /// Whether the platform closed it, or sent what nobody asked for, while it was idle.
+    /// Whether the other side closed it, or sent what nobody asked for, while it was idle.
     bool isSpoiled()
     {
         char byte = 0;
@@ -47,22 +47,22 @@
     }
 };
 
-HttpStoreClient::HttpStoreClient(asio::any_io_executor executor, HttpStoreOptions options)
+HttpCaller::HttpCaller(asio::any_io_executor executor, HttpStoreOptions options)
     : m_executor(std::move(executor))
     , m_options(std::move(options))
 {
 }
 
-HttpStoreClient::~HttpStoreClient() = default;
+HttpCaller::~HttpCaller() = default;
 
-void HttpStoreClient::send(Request request, std::function<void(Core::Result<Answer>)> callback)
+void HttpCaller::send(Request request, std::function<void(Core::Result<Answer>)> callback)
 {
     auto connection = takeIdle();
     asio::any_io_executor executor
         = connection ? connection->stream.get_executor() : asio::any_io_executor(asio::make_strand(m_executor));
     asio::co_spawn(
         executor,
-        [](std::shared_ptr<HttpStoreClient> self, ConnectionPointer idle, Request pending,
+        [](std::shared_ptr<HttpCaller> self, ConnectionPointer idle, Request pending,
             std::function<void(Core::Result<Answer>)> done) -> asio::awaitable<void> {
             auto answer = co_await self->exchange(std::move(idle), pending);
             done(std::move(answer));
@@ -70,7 +70,7 @@
         asio::detached);
 }
 
-asio::awaitable<Core::Result<HttpStoreClient::Answer>> HttpStoreClient::exchange(
+asio::awaitable<Core::Result<HttpCaller::Answer>> HttpCaller::exchange(
     ConnectionPointer connection, Request const& request)
 {
     auto const hadIdle = connection != nullptr;
@@ -85,7 +85,7 @@
             connection->stream.expires_at(request.deadline);
             auto const [connectCode] = co_await connection->stream.async_connect({ address, m_options.port }, useTuple);
             if (connectCode)
-                co_return failure(false, "cannot connect to the platform: " + connectCode.message());
+                co_return failure(false, "cannot connect to " + m_options.subject + ": " + connectCode.message());
             connection->stream.socket().set_option(asio::ip::tcp::no_delay(true), code);
         }
         bool mayHaveArrived = false;
@@ -95,7 +95,7 @@
                 giveBack(std::move(connection));
             co_return answer;
         }
-        // The platform may close a connection in the moment it is reused. Only a request that had no effect, or that
+        // The other side may close a connection in the moment it is reused. Only a request that had no effect, or that
         // has none anyway, is sent again.
         auto const maySendAgain = !mayHaveArrived || !request.isWrite;
         if (!useIdle || !maySendAgain || Core::monotonicNow() >= request.deadline)
@@ -103,7 +103,7 @@
     }
 }
 
-asio::awaitable<Core::Result<HttpStoreClient::Answer>> HttpStoreClient::exchangeOn(
+asio::awaitable<Core::Result<HttpCaller::Answer>> HttpCaller::exchangeOn(
     StoreConnection& connection, Request const& request, bool& mayHaveArrived)
 {
     http::request<http::string_body> message { request.method, request.target, 11, request.body };
@@ -116,13 +116,14 @@
     auto const [writeCode, written] = co_await http::async_write(connection.stream, message, useTuple);
     mayHaveArrived = written > 0;
     if (writeCode)
-        co_return failure(request.isWrite && mayHaveArrived, "cannot send to the platform: " + writeCode.message());
+        co_return failure(
+            request.isWrite && mayHaveArrived, "cannot send to " + m_options.subject + ": " + writeCode.message());
 
     http::response_parser<http::string_body> parser;
     parser.body_limit(m_options.maxAnswerBytes);
     auto const [readCode, unused] = co_await http::async_read(connection.stream, connection.buffer, parser, useTuple);
     if (readCode)
-        co_return failure(request.isWrite, "no answer from the platform: " + readCode.message());
+        co_return failure(request.isWrite, "no answer from " + m_options.subject + ": " + readCode.message());
     auto response = parser.release();
     if (!response.keep_alive() || connection.buffer.size() != 0)
         connection.stream.close();
@@ -130,11 +131,11 @@
         connection.stream.expires_never();
     auto const status = response.result_int();
     if (status >= 500)
-        co_return failure(request.isWrite, "the platform answered " + std::to_string(status));
+        co_return failure(request.isWrite, m_options.subject + " answered " + std::to_string(status));
     co_return Answer { status, std::move(response.body()) };
 }
 
-HttpStoreClient::ConnectionPointer HttpStoreClient::takeIdle()
+HttpCaller::ConnectionPointer HttpCaller::takeIdle()
 {
     auto const now = Core::monotonicNow();
     std::lock_guard const lock(m_mutex);
@@ -147,7 +148,7 @@
     return {};
 }
 
-void HttpStoreClient::giveBack(ConnectionPointer connection)
+void HttpCaller::giveBack(ConnectionPointer connection)
 {
     connection->idleSince = Core::monotonicNow();
     std::lock_guard const lock(m_mutex);
--- a/Libraries/LibStore/HttpStoreClient.h
+++ b/Libraries/LibStore/HttpCaller.h
@@ -16,8 +16,8 @@
 
 struct StoreConnection;
 
-/// Sends HTTP requests to the platform over kept-alive connections. Not part of the public header.
-class HttpStoreClient : public std::enable_shared_from_this<HttpStoreClient> {
+/// Sends HTTP requests to one address over kept-alive connections. The operators' tool calls daemons with it too.
+class HttpCaller : public std::enable_shared_from_this<HttpCaller> {
 public:
     struct Request {
         boost::beast::http::verb method;
@@ -32,10 +32,10 @@
         std::string body;
     };
 
-    HttpStoreClient(boost::asio::any_io_executor, HttpStoreOptions);
-    ~HttpStoreClient();
+    HttpCaller(boost::asio::any_io_executor, HttpStoreOptions);
+    ~HttpCaller();
 
-    /// Errors: StoreUnavailable, and StoreOutcomeUnknown for a write of which a byte may have reached the platform. A
+    /// Errors: StoreUnavailable, and StoreOutcomeUnknown for a write of which a byte may have arrived. A
     /// status of 500 or above counts as such an error too.
     void send(Request, std::function<void(Core::Result<Answer>)>);
 
--- a/Libraries/LibStore/HttpStore.cpp
+++ b/Libraries/LibStore/HttpStore.cpp
@@ -1,5 +1,5 @@
+#include <LibStore/HttpCaller.h>
 #include <LibStore/HttpStore.h>
-#include <LibStore/HttpStoreClient.h>
 #include <LibStore/PlatformJson.h>
 #include <boost/url/encode.hpp>
 #include <boost/url/rfc/unreserved_chars.hpp>
@@ -10,7 +10,7 @@
 
 namespace {
 
-using Answer = HttpStoreClient::Answer;
+using Answer = HttpCaller::Answer;
 
 std::string encode(std::string_view text)
 {
@@ -49,7 +49,7 @@
 
 StorePort makeHttpStore(boost::asio::any_io_executor executor, HttpStoreOptions options)
 {
-    auto const client = std::make_shared<HttpStoreClient>(std::move(executor), std::move(options));
+    auto const client = std::make_shared<HttpCaller>(std::move(executor), std::move(options));
     StorePort port;
     port.read = [client](std::string const& table, std::string const& key, Core::Instant deadline, auto callback) {
         client->send({ http::verb::get, tablePath(table) + '/' + encode(key), {}, false, deadline },
--- a/Libraries/LibStore/HttpStoreOptions.h
+++ b/Libraries/LibStore/HttpStoreOptions.h
@@ -10,6 +10,7 @@
 struct HttpStoreOptions {
     std::string address; ///< IP address of the platform.
     uint16_t port { 0 };
+    std::string subject { "the platform" }; ///< Named in error texts.
     /// A larger answer is an error. The largest settings text is 4 MiB, and JSON at most doubles it.
     size_t maxAnswerBytes { 16 * 1024 * 1024 };
     size_t maxIdleConnections { 4 };
--- a/Libraries/LibStore/MoveRow.cpp
+++ b/Libraries/LibStore/MoveRow.cpp
@@ -30,6 +30,14 @@
 
 std::string_view moveStateName(MoveState state) { return stateNames[static_cast<size_t>(state)]; }
 
+std::optional<MoveKind> moveKindNamed(std::string_view name)
+{
+    auto const found = std::ranges::find(kindNames, name);
+    if (found == kindNames.end())
+        return {};
+    return static_cast<MoveKind>(found - kindNames.begin());
+}
+
 std::string MoveRow::toJson() const
 {
     return boost::json::serialize(boost::json::object {
@@ -88,6 +96,32 @@
     return result;
 }
 
+std::vector<std::string> MoveRow::faultsAgainst(Settings::SettingsTree const& tree) const
+{
+    std::vector<std::string> result;
+    auto const check = [&](std::string const& name, std::string_view what, bool exists) {
+        if (!name.empty() && !exists)
+            result.push_back(std::string(what) + " \"" + name + "\" does not exist");
+    };
+    auto const* serviceSettings = tree.service(service);
+    check(service, "service", serviceSettings != nullptr);
+    for (auto const& name : { from, to }) {
+        switch (kind) {
+        case MoveKind::Version:
+            if (serviceSettings)
+                check(name, "version", serviceSettings->versions.contains(name));
+            break;
+        case MoveKind::AvailabilityZone:
+            check(name, "availability zone", tree.availabilityZones.contains(name));
+            break;
+        case MoveKind::Department:
+            check(name, "department", tree.department(name) != nullptr);
+            break;
+        }
+    }
+    return result;
+}
+
 bool isAllowedTransition(MoveState from, MoveState to)
 {
     switch (from) {
--- a/Libraries/LibStore/MoveRow.h
+++ b/Libraries/LibStore/MoveRow.h
@@ -2,8 +2,10 @@
 
 #include <LibCore/Result.h>
 #include <LibCore/Time.h>
+#include <LibSettings/SettingsTree.h>
 #include <LibStore/Row.h>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -16,6 +18,7 @@
 
 std::string_view moveKindName(MoveKind);
 std::string_view moveStateName(MoveState);
+std::optional<MoveKind> moveKindNamed(std::string_view);
 
 /// The row moves/<id>, as JSON. What `from` and `to` name depends on the kind:
 ///   version: versions of `service`, both required;
@@ -47,6 +50,8 @@
 
     /// Every fault of the values, one sentence each; empty when the row may be declared.
     std::vector<std::string> faults() const;
+    /// Every name that the settings do not have, one sentence each.
+    std::vector<std::string> faultsAgainst(Settings::SettingsTree const&) const;
 };
 
 /// Whether a change from one state to another is allowed: a final state stays, and only a paused move resumes.
--- a/Libraries/LibStore/SettingsHead.cpp
+++ b/Libraries/LibStore/SettingsHead.cpp
@@ -29,10 +29,10 @@
     return boost::json::serialize(object);
 }
 
-Core::Result<SettingsHead> SettingsHead::fromRow(Row const& row)
+Core::Result<SettingsHead> SettingsHead::fromJson(std::string_view json, std::string subject)
 {
-    JsonFields fields(row.value, "row settings/head");
-    SettingsHead head { revisionFrom(fields), fields.optionalText("toml"), fields.optionalText("object"), row.version };
+    JsonFields fields(json, std::move(subject));
+    SettingsHead head { revisionFrom(fields), fields.optionalText("toml"), fields.optionalText("object"), 0 };
     if (!head.toml && !head.objectName)
         fields.addFault("has neither field \"toml\" nor field \"object\"");
     if (fields.error())
@@ -40,6 +40,14 @@
     return head;
 }
 
+Core::Result<SettingsHead> SettingsHead::fromRow(Row const& row)
+{
+    auto head = fromJson(row.value, "row settings/head");
+    if (auto* value = std::get_if<SettingsHead>(&head))
+        value->rowVersion = row.version;
+    return head;
+}
+
 std::string ChangeRow::toJson() const { return boost::json::serialize(toObject(revision)); }
 
 Core::Result<ChangeRow> ChangeRow::fromJson(std::string const& json)
--- a/Libraries/LibStore/SettingsHead.h
+++ b/Libraries/LibStore/SettingsHead.h
@@ -5,10 +5,12 @@
 #include <LibStore/Row.h>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace Comfreysail::Store {
 
-/// The row settings/head: the settings in force.
+/// The row settings/head: the settings in force. The same JSON, always with the text, is the body of POST /settings on
+/// a daemon's admin port.
 struct SettingsHead {
     Settings::SettingsRevision revision;
     std::optional<std::string> toml;       ///< The text, unless it is an object.
@@ -19,6 +21,8 @@
 
     std::string toJson() const;
     static Core::Result<SettingsHead> fromRow(Row const&);
+    /// `subject` names the source in faults.
+    static Core::Result<SettingsHead> fromJson(std::string_view json, std::string subject);
 };
 
 inline constexpr size_t maxInlineSettingsBytes = 64 * 1024;
--- /dev/null
+++ b/Utilities/comfreysail/ExitCode.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <LibCore/ErrorKind.h>
+
+namespace Comfreysail::Tool {
+
+/// Exit codes of the tool, as --help documents them.
+enum class ExitCode : int { // NOLINT(performance-enum-size): the type that main() returns.
+    Done = 0,
+    Failed = 1,
+    Usage = 2,
+    Conflict = 3,
+    OutcomeUnknown = 4,
+};
+
+inline ExitCode exitCodeFor(Core::ErrorKind kind)
+{
+    switch (kind) {
+    case Core::ErrorKind::InvalidSettings:
+        return ExitCode::Usage;
+    case Core::ErrorKind::RevisionConflict:
+        return ExitCode::Conflict;
+    case Core::ErrorKind::StoreOutcomeUnknown:
+        return ExitCode::OutcomeUnknown;
+    default:
+        return ExitCode::Failed;
+    }
+}
+
+}
--- /dev/null
+++ b/Utilities/comfreysail/Invocation.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "HostPort.h"
+#include <LibCore/Result.h>
+#include <LibCore/Time.h>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Comfreysail::Tool {
+
+/// What the operator asked for on the command line.
+struct Invocation {
+    enum class Command : uint8_t { Help, Version, Apply, Show, Diff, Status, Moves };
+    enum class MovesAction : uint8_t { List, Declare, Pause, Resume, TakeBack };
+
+    Command command { Command::Help };
+    bool isJson { false };
+    std::optional<HostPort> platform;
+    std::vector<HostPort> daemons;
+    uint16_t adminPort { 0 }; ///< Of the daemons in the VM list, which has no ports.
+    Core::Duration timeout {};
+
+    std::string file;                         ///< apply, diff.
+    std::optional<uint64_t> expectedRevision; ///< apply.
+    std::string changeId;                     ///< apply and moves; generated when not given.
+    bool wait { false };
+
+    std::string service;    ///< show, moves declare.
+    std::string department; ///< show.
+    std::string key;        ///< show; empty for all.
+    bool wantsToml { false };
+
+    MovesAction movesAction { MovesAction::List };
+    std::string moveId;
+    std::string moveKind;
+    std::string from;
+    std::string to;
+    std::string reason;
+    std::optional<Core::WallTime> start;
+    std::optional<Core::WallTime> finishBy;
+};
+
+/// Parses the command line. An error is a usage error; its detail says what is wrong. `now` is what "+10m" adds to.
+Core::Result<Invocation> parseInvocation(std::vector<std::string> const& arguments, Core::WallTime now);
+
+/// Text for --help.
+std::string usageText();
+
+/// A time as "2026-12-04T10:00:00Z", or "+90s" (units ms, s, m, h, d) from now.
+std::optional<Core::WallTime> parseTime(std::string const&, Core::WallTime now);
+std::string timeText(Core::WallTime);
+
+}
