--- /dev/null
+++ b/Libraries/LibMembership/MemberTable.cpp
@@ -0,0 +1,369 @@
+#include <LibCore/Hash.h>
+#include <LibMembership/MemberTable.h>
+#include <LibMembership/Overlay.h>
+#include <algorithm>
+#include <limits>
+
+namespace Comfreysail::Membership {
+
+using Core::Instant;
+
+namespace {
+
+// A change rides on the heartbeats for this long, which is several times the time to reach all.
+constexpr Core::Duration changeRidesFor = std::chrono::seconds(5);
+// A view that still differs after the changes had time to arrive is repaired with a full one.
+constexpr Core::Duration fullViewInterval = std::chrono::seconds(3);
+// Longest time that the platform's VM list is expected to lag behind.
+constexpr Core::Duration listLag = std::chrono::seconds(30);
+
+std::string endpointOf(Member const& member) { return member.address + ":" + std::to_string(member.peerMessagePort); }
+
+}
+
+MemberTable::MemberTable(Member self, MembershipOptions options, Instant now)
+    : m_options(std::move(options))
+    , m_tickedAt(now)
+    , m_resumedAt(now)
+    , m_reachedAt(now)
+{
+    m_self.member = std::move(self);
+}
+
+std::vector<OutgoingHeartbeat> MemberTable::tick(Instant now)
+{
+    if (now - m_tickedAt > m_options.pauseGap) {
+        // Heartbeats that waited in the socket during the pause say nothing about the present; a reply that knows a
+        // beat sent from now on does.
+        m_isResumed = true;
+        m_resumedAt = now;
+        m_resumedBeat = m_self.beat + 1;
+        m_isDue = true;
+    }
+    m_tickedAt = now;
+    noteReach(now);
+    forgetSilent(now);
+    if (!m_isDue && m_sentAt && now - *m_sentAt < m_options.heartbeatInterval)
+        return {};
+    m_isDue = false;
+    m_sentAt = now;
+    ++m_self.beat;
+
+    auto const heartbeat = makeHeartbeat(false, now);
+    std::vector<OutgoingHeartbeat> outgoing;
+    for (auto& endpoint : endpoints(now))
+        outgoing.push_back({ std::move(endpoint), heartbeat });
+    return outgoing;
+}
+
+std::vector<OutgoingHeartbeat> MemberTable::merge(Heartbeat const& heartbeat, Instant now)
+{
+    auto const& sender = heartbeat.sender.member;
+    if (sender.name.empty() || isSelf(sender))
+        return {};
+
+    auto const wasKnown = m_records.contains(sender.name);
+    adopt(heartbeat.sender, now);
+    for (auto const& entry : heartbeat.changes)
+        adopt(entry, now);
+    auto const record = m_records.find(sender.name);
+    auto const isTombstone = record != m_records.end() && record->second.entry.member.state == MemberState::Left
+        && sender.state != MemberState::Left && record->second.entry.member.incarnation == sender.incarnation;
+    auto const isSameView = heartbeat.viewHash == viewHash();
+    if (isSameView)
+        mergeBeats(heartbeat, now);
+    noteReach(now);
+    if (sender.state == MemberState::Left)
+        return {};
+
+    // A newcomer, or one that was counted out while it lived, needs the view at once. Another view may only be late.
+    auto& fullSentAt = m_fullSentAt.try_emplace(sender.name, now - fullViewInterval / 2).first->second;
+    auto const mayBeLate = wasKnown && !heartbeat.isFull && !isTombstone;
+    if ((isSameView && !isTombstone) || (mayBeLate && now - fullSentAt < fullViewInterval)) {
+        if (isSameView)
+            fullSentAt = now;
+        return {};
+    }
+    if (wasKnown && now - fullSentAt < m_options.heartbeatInterval)
+        return {};
+    fullSentAt = now;
+    return { { endpointOf(sender), makeHeartbeat(true, now) } };
+}
+
+void MemberTable::noteStoreAnswered(Instant startedAt, Instant now)
+{
+    m_reachedAt = std::max(m_reachedAt, now);
+    if (m_isResumed && startedAt >= m_resumedAt)
+        m_isResumed = false;
+}
+
+void MemberTable::noteVmList(std::vector<PlatformVm> const& vms, Instant now)
+{
+    for (auto& item : m_records) {
+        auto& record = item.second;
+        auto const isLeaving = std::any_of(vms.begin(), vms.end(), [&](PlatformVm const& vm) {
+            return vm.isLeaving && vm.name == item.first && vm.address == record.entry.member.address;
+        });
+        if (!isLeaving)
+            record.staleListUntil = {};
+        record.isLeaving = isLeaving && now >= record.staleListUntil;
+    }
+}
+
+void MemberTable::setSettingsRevision(uint64_t revision)
+{
+    if (revision <= m_settingsRevision)
+        return;
+    m_settingsRevision = revision;
+    m_isDue = true;
+}
+
+void MemberTable::setState(MemberState state)
+{
+    if (state <= m_self.member.state)
+        return;
+    m_self.member.state = state;
+    m_isDue = true;
+}
+
+std::vector<Member> MemberTable::live(Instant now) const
+{
+    std::vector<Member> members;
+    for (auto const& [name, record] : m_records) {
+        if (record.entry.member.state == MemberState::Serving && !isSilent(record, now) && !record.isLeaving)
+            members.push_back(record.entry.member);
+    }
+    if (m_self.member.state == MemberState::Serving) {
+        auto const position = std::lower_bound(members.begin(), members.end(), m_self.member,
+            [](auto const& left, auto const& right) { return left.name < right.name; });
+        members.insert(position, m_self.member);
+    }
+    return members;
+}
+
+std::vector<Member> MemberTable::reachable(Instant now) const
+{
+    std::vector<Member> members;
+    for (auto const& [name, record] : m_records) {
+        if (record.entry.member.state != MemberState::Left && !isSilent(record, now))
+            members.push_back(record.entry.member);
+    }
+    return members;
+}
+
+std::vector<Member> MemberTable::overlay(Instant now) const
+{
+    auto const others = reachable(now);
+    auto const self = std::lower_bound(others.begin(), others.end(), m_self.member.name,
+                          [](Member const& member, std::string const& name) { return member.name < name; })
+        - others.begin();
+    std::vector<Member> peers;
+    for (auto const position : overlayPeers(static_cast<size_t>(self), others.size() + 1)) {
+        // Positions on the ring include this member; `others` leaves it out.
+        auto const index = position > static_cast<size_t>(self) ? position - 1 : position;
+        peers.push_back(others[index]);
+    }
+    return peers;
+}
+
+size_t MemberTable::knownCount() const
+{
+    return 1 + static_cast<size_t>(std::count_if(m_records.begin(), m_records.end(), [](auto const& item) {
+        return item.second.entry.member.state != MemberState::Left;
+    }));
+}
+
+bool MemberTable::isIsolated(Instant now) const { return now - m_reachedAt > m_options.isolatedAfter; }
+
+WorkPermit MemberTable::workPermit(Instant now) const
+{
+    // Between the end of a pause and the next tick the gap itself shows that there was one.
+    if (m_isResumed || now - m_tickedAt > m_options.pauseGap)
+        return WorkPermit::Resumed;
+    return isIsolated(now) ? WorkPermit::Isolated : WorkPermit::Allowed;
+}
+
+bool MemberTable::isSilent(Record const& record, Instant now) const
+{
+    return now - record.heardAt > m_options.suspectAfter;
+}
+
+bool MemberTable::isSelf(Member const& member) const { return member.name == m_self.member.name; }
+
+bool MemberTable::adopt(MemberEntry const& entry, Instant now)
+{
+    auto const& member = entry.member;
+    if (isSelf(member)) {
+        // The others counted this run out while it lived: it comes back as a new instance.
+        if (member.incarnation == m_self.member.incarnation && member.state == MemberState::Left
+            && m_self.member.state != MemberState::Left) {
+            ++m_self.member.incarnation;
+            m_isDue = true;
+        }
+        return false;
+    }
+    // A daemon that restarted under another name at the same endpoint replaces the one that was there.
+    for (auto& [name, record] : m_records) {
+        auto& other = record.entry.member;
+        if (name == member.name || other.state == MemberState::Left || endpointOf(other) != endpointOf(member))
+            continue;
+        if (other.incarnation > member.incarnation)
+            return false;
+        other.state = MemberState::Left;
+        record.changedAt = now;
+    }
+    auto const [position, isNew] = m_records.try_emplace(member.name);
+    auto& record = position->second;
+    auto& known = record.entry.member;
+    if (isNew || member.incarnation > known.incarnation) {
+        // The list lags: a mark that was made for the former instance may stay on it for a while.
+        record = { entry, now, now, record.isLeaving ? now + listLag : Instant {}, false };
+        return true;
+    }
+    if (member.incarnation < known.incarnation)
+        return false;
+    if (member.state > known.state) {
+        known.state = member.state;
+        record.changedAt = now;
+    }
+    noteBeat(record, entry.beat, now);
+    return true;
+}
+
+void MemberTable::noteBeat(Record& record, uint64_t beat, Instant now)
+{
+    if (beat <= record.entry.beat)
+        return;
+    record.entry.beat = beat;
+    record.heardAt = now;
+}
+
+void MemberTable::mergeBeats(Heartbeat const& heartbeat, Instant now)
+{
+    auto const raise = [](uint64_t known, uint16_t low) {
+        auto const difference = static_cast<int16_t>(static_cast<uint16_t>(low - static_cast<uint16_t>(known)));
+        return difference > 0 ? known + static_cast<uint64_t>(difference) : known;
+    };
+    size_t index = 0;
+    auto const next = [&]() -> std::optional<uint16_t> {
+        return index < heartbeat.beats.size() ? std::optional(heartbeat.beats[index++]) : std::nullopt;
+    };
+    auto isSelfPending = true;
+    auto const mergeSelf = [&] {
+        isSelfPending = false;
+        auto const beat = next();
+        if (!beat || !m_isResumed)
+            return;
+        auto const distance = static_cast<int16_t>(static_cast<uint16_t>(*beat - static_cast<uint16_t>(m_resumedBeat)));
+        if (distance >= 0 && m_self.beat >= m_resumedBeat)
+            m_isResumed = false;
+    };
+    for (auto& [name, record] : m_records) {
+        if (isSelfPending && m_self.member.name < name)
+            mergeSelf();
+        if (record.entry.member.state == MemberState::Left)
+            continue;
+        if (auto const beat = next())
+            noteBeat(record, raise(record.entry.beat, *beat), now);
+    }
+    if (isSelfPending)
+        mergeSelf();
+}
+
+void MemberTable::forgetSilent(Instant now)
+{
+    // Only the side that holds the majority forgets, so that the other side never counts itself as everybody.
+    auto const hasMajority = heardCount(now) * 2 > knownCount();
+    for (auto record = m_records.begin(); record != m_records.end();) {
+        auto& state = record->second.entry.member.state;
+        auto const silence = now - record->second.heardAt;
+        if (state == MemberState::Left && now - record->second.changedAt > m_options.tombstoneFor) {
+            m_fullSentAt.erase(record->first);
+            record = m_records.erase(record);
+            continue;
+        }
+        if (state != MemberState::Left && hasMajority && silence > m_options.forgetAfter) {
+            state = MemberState::Left;
+            record->second.changedAt = now;
+        }
+        ++record;
+    }
+}
+
+void MemberTable::noteReach(Instant now)
+{
+    if (heardCount(now) * 2 > knownCount())
+        m_reachedAt = now;
+}
+
+size_t MemberTable::heardCount(Instant now) const
+{
+    return 1 + static_cast<size_t>(std::count_if(m_records.begin(), m_records.end(), [&](auto const& item) {
+        return item.second.entry.member.state != MemberState::Left && !isSilent(item.second, now);
+    }));
+}
+
+uint64_t MemberTable::viewHash() const
+{
+    // Summed so that the place of this member in the order does not matter.
+    auto const hashOf = [](Member const& member) {
+        return Core::combineHashes(
+            Core::hashBytes(member.name, member.incarnation), static_cast<uint64_t>(member.state));
+    };
+    uint64_t hash = 0;
+    if (m_self.member.state != MemberState::Left)
+        hash += hashOf(m_self.member);
+    for (auto const& [name, record] : m_records) {
+        if (record.entry.member.state != MemberState::Left)
+            hash += hashOf(record.entry.member);
+    }
+    return hash;
+}
+
+Heartbeat MemberTable::makeHeartbeat(bool isFull, Instant now) const
+{
+    Heartbeat heartbeat;
+    heartbeat.sender = m_self;
+    heartbeat.settingsRevision = m_settingsRevision;
+    heartbeat.viewHash = viewHash();
+    heartbeat.isFull = isFull;
+    auto isSelfPending = m_self.member.state != MemberState::Left;
+    for (auto const& [name, record] : m_records) {
+        if (isSelfPending && m_self.member.name < name) {
+            heartbeat.beats.push_back(static_cast<uint16_t>(m_self.beat));
+            isSelfPending = false;
+        }
+        if (record.entry.member.state != MemberState::Left)
+            heartbeat.beats.push_back(static_cast<uint16_t>(record.entry.beat));
+        if (isFull || now - record.changedAt < changeRidesFor)
+            heartbeat.changes.push_back(record.entry);
+    }
+    if (isSelfPending)
+        heartbeat.beats.push_back(static_cast<uint16_t>(m_self.beat));
+    return heartbeat;
+}
+
+std::vector<std::string> MemberTable::endpoints(Instant now)
+{
+    std::vector<std::string> endpoints;
+    for (auto const& member : overlay(now))
+        endpoints.push_back(endpointOf(member));
+    // One silent member or unknown seed in turn, so that two halves find each other again.
+    std::vector<std::string> silent;
+    for (auto const& [name, record] : m_records) {
+        if (isSilent(record, now))
+            silent.push_back(endpointOf(record.entry.member));
+    }
+    for (auto const& seed : m_options.seeds) {
+        auto const isKnown = seed == endpointOf(m_self.member)
+            || std::any_of(m_records.begin(), m_records.end(),
+                [&](auto const& item) { return endpointOf(item.second.entry.member) == seed; });
+        if (!isKnown)
+            silent.push_back(seed);
+    }
+    if (!silent.empty())
+        endpoints.push_back(silent[m_probe++ % silent.size()]);
+    return endpoints;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibMoves/Evidence.cpp
@@ -0,0 +1,204 @@
+#include <LibMoves/Evidence.h>
+#include <algorithm>
+#include <cmath>
+
+namespace Comfreysail::Moves {
+
+using Core::WallTime;
+
+namespace {
+
+constexpr int64_t millisecondsPerSlot = 1000;
+// Long enough for the judged window, the way to all daemons and clocks that differ by a second or two.
+constexpr int64_t slotsKept = 10;
+// The window is short so that a fault shows clearly soon after it began.
+constexpr int64_t slotsJudged = 4;
+// About 8 MB; a daemon has 32 MB for all control.
+constexpr size_t maximumEntries = 20'000;
+constexpr double logLatencyScale = 16;
+
+int64_t slotOf(WallTime time) { return Core::toUnixMilliseconds(time) / millisecondsPerSlot; }
+int64_t startSlotOf(WallTime start) { return -Core::toUnixMilliseconds(start); }
+
+Counters countersOf(Observation const& observation)
+{
+    Counters counters;
+    if (observation.outcome == Outcome::Success)
+        counters.successes = 1;
+    else if (observation.outcome == Outcome::Failure)
+        counters.failures = 1;
+    else
+        counters.lost = 1;
+    if (observation.outcome != Outcome::Success)
+        return counters;
+    counters.loadedSuccesses = observation.isLoaded ? 1 : 0;
+    if (!observation.isCold) {
+        auto const microseconds = static_cast<double>(std::max<int64_t>(observation.latency.count(), 1));
+        auto const scaled = static_cast<uint64_t>(std::lround(std::log2(microseconds) * logLatencyScale));
+        counters.timed = 1;
+        counters.logLatencySum = scaled;
+        counters.logLatencySquareSum = scaled * scaled;
+    }
+    return counters;
+}
+
+}
+
+Evidence::Evidence(std::string origin, uint64_t incarnation)
+    : m_origin(std::move(origin))
+    , m_incarnation(incarnation)
+{
+}
+
+void Evidence::watch(std::vector<Move> const& moves)
+{
+    m_watched.clear();
+    for (auto const& move : moves) {
+        if (move.isJudged() && !move.isFinal())
+            m_watched[move.service].insert(startSlotOf(move.start));
+    }
+    auto const isUnwatched = [&](Address const& address) {
+        auto const watched = m_watched.find(address.service);
+        return watched == m_watched.end() || (address.slot <= 0 && !watched->second.contains(address.slot));
+    };
+    std::erase_if(m_counters, [&](auto const& item) { return isUnwatched(item.first); });
+    std::erase_if(m_changed, isUnwatched);
+}
+
+void Evidence::record(Observation const& observation, WallTime now)
+{
+    auto const watched = m_watched.find(observation.service);
+    if (watched == m_watched.end() || observation.outcome == Outcome::Ignored)
+        return;
+    EvidenceKey const key { observation.service, observation.version, observation.route, observation.availabilityZone,
+        targetHash(observation.target) };
+    auto const counters = countersOf(observation);
+    count(key, slotOf(now), counters);
+    for (auto const start : watched->second) {
+        if (-start <= Core::toUnixMilliseconds(now))
+            count(key, start, counters);
+    }
+}
+
+void Evidence::merge(EvidenceDelta const& delta, WallTime now)
+{
+    for (auto const& entry : delta.entries) {
+        auto const isOwn = entry.origin == m_origin && entry.originIncarnation == m_incarnation;
+        if (isOwn || !isSlotKept(entry.key.service, entry.slot, now))
+            continue;
+        Address address { entry.key.service, entry.key.version, entry.slot, entry.key, entry.origin,
+            entry.originIncarnation };
+        auto position = m_counters.find(address);
+        if (position == m_counters.end()) {
+            if (m_counters.size() >= maximumEntries)
+                continue;
+            position = m_counters.try_emplace(address).first;
+        }
+        if (position->second.raiseTo(entry.counters))
+            m_changed.insert(std::move(address));
+    }
+}
+
+EvidenceDelta Evidence::takeDelta(size_t maxEntries, WallTime now)
+{
+    dropOld(now);
+    EvidenceDelta delta;
+    auto const take = [&](bool wantsFailures) {
+        for (auto address = m_changed.begin(); address != m_changed.end() && delta.entries.size() < maxEntries;) {
+            auto const counters = m_counters.find(*address);
+            if (counters != m_counters.end()) {
+                auto const hasFailures = counters->second.failures + counters->second.lost > 0;
+                if (hasFailures != wantsFailures) {
+                    ++address;
+                    continue;
+                }
+                delta.entries.push_back(
+                    { address->origin, address->originIncarnation, address->key, address->slot, counters->second });
+            }
+            address = m_changed.erase(address);
+        }
+    };
+    take(true);
+    take(false);
+    return delta;
+}
+
+void Evidence::markAllChanged()
+{
+    for (auto const& [address, counters] : m_counters)
+        m_changed.insert(address);
+}
+
+bool Evidence::noteBad(std::string const& moveId, std::string const& reason)
+{
+    return m_badMoves.try_emplace(moveId, reason).second;
+}
+
+std::optional<std::string> Evidence::badReason(std::string_view moveId) const
+{
+    auto const reason = m_badMoves.find(moveId);
+    return reason == m_badMoves.end() ? std::nullopt : std::optional(reason->second);
+}
+
+CountersByKey Evidence::sinceStart(std::string_view service, std::string_view version, WallTime start) const
+{
+    CountersByKey totals;
+    addSlots(totals, service, version, startSlotOf(start), startSlotOf(start));
+    return totals;
+}
+
+CountersByKey Evidence::recent(std::string_view service, std::string_view version, WallTime now) const
+{
+    CountersByKey totals;
+    // Clocks that run ahead put counts into slots that have not begun here.
+    addSlots(totals, service, version, slotOf(now) - slotsJudged + 1, slotOf(now) + slotsKept);
+    return totals;
+}
+
+void Evidence::count(EvidenceKey const& key, int64_t slot, Counters const& counters)
+{
+    Address address { key.service, key.version, slot, key, m_origin, m_incarnation };
+    auto position = m_counters.find(address);
+    if (position == m_counters.end()) {
+        if (m_counters.size() >= maximumEntries)
+            return;
+        position = m_counters.try_emplace(address).first;
+    }
+    position->second += counters;
+    m_changed.insert(std::move(address));
+}
+
+bool Evidence::isSlotKept(std::string_view service, int64_t slot, WallTime now) const
+{
+    auto const watched = m_watched.find(service);
+    if (watched == m_watched.end())
+        return false;
+    if (slot <= 0)
+        return watched->second.contains(slot);
+    return std::abs(slotOf(now) - slot) <= slotsKept;
+}
+
+void Evidence::dropOld(WallTime now)
+{
+    auto const isOld
+        = [&](Address const& address) { return address.slot > 0 && address.slot < slotOf(now) - slotsKept; };
+    std::erase_if(m_counters, [&](auto const& item) { return isOld(item.first); });
+    std::erase_if(m_changed, isOld);
+}
+
+void Evidence::addSlots(
+    CountersByKey& totals, std::string_view service, std::string_view version, int64_t first, int64_t last) const
+{
+    Address lower;
+    lower.service = service;
+    lower.version = version;
+    lower.slot = first;
+    for (auto position = m_counters.lower_bound(lower); position != m_counters.end(); ++position) {
+        auto const& address = position->first;
+        if (address.service != service || address.version != version || address.slot > last)
+            return;
+        totals[address.key] += position->second;
+    }
+}
+
+}
--- /dev/null
+++ b/Libraries/LibMoves/Judge.cpp
@@ -0,0 +1,238 @@
+#include <LibMoves/Judge.h>
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+namespace Comfreysail::Moves {
+
+using Core::WallTime;
+
+namespace {
+
+// The test is repeated several times a second on several routes for the whole move, so a single one must hardly ever
+// be wrong; three failures out of three against one percent still pass.
+constexpr double significance = 1e-5;
+constexpr double toleratedFailureRate = 0.01;
+constexpr double toleratedRatio = 2; ///< To the old version's failure rate.
+constexpr uint64_t minimumFailures = 3;
+constexpr uint64_t minimumBaseline = 20; ///< Calls of the old version that tell its rate.
+constexpr double healthyFailureRate = 0.05;
+// Twice as slow in the mean, and 1.5 times as slow for certain.
+constexpr double slowDifference = 1.0;
+constexpr double slowLowerBound = 0.58;
+constexpr double slowDeviations = 4.5;
+constexpr uint64_t minimumTimed = 10;
+constexpr double logLatencyScale = 16;
+
+struct Sample {
+    std::string zone;
+    uint32_t target { 0 };
+    Counters counters;
+};
+
+double failureRate(Counters const& counters)
+{
+    auto const calls = counters.calls();
+    return calls == 0 ? 0 : static_cast<double>(counters.failures + counters.lost) / static_cast<double>(calls);
+}
+
+/// Probability of at least `failures` among `calls` when each fails with probability `rate`.
+double tailProbability(uint64_t calls, uint64_t failures, double rate)
+{
+    if (failures == 0 || rate >= 1)
+        return 1;
+    auto const n = static_cast<double>(calls);
+    double sum = 0;
+    for (auto k = failures; k <= calls; ++k) {
+        auto const x = static_cast<double>(k);
+        auto const logTerm = std::lgamma(n + 1) - std::lgamma(x + 1) - std::lgamma(n - x + 1) + x * std::log(rate)
+            + (n - x) * std::log1p(-rate);
+        auto const term = std::exp(logTerm);
+        sum += term;
+        if (x > n * rate && term < sum * 1e-6)
+            break;
+    }
+    return std::min(sum, 1.0);
+}
+
+struct Spread {
+    double mean { 0 };
+    double variance { 0 };
+    double count { 0 };
+};
+
+Spread spreadOf(Counters const& counters)
+{
+    if (counters.timed == 0)
+        return {};
+    auto const count = static_cast<double>(counters.timed);
+    auto const mean = static_cast<double>(counters.logLatencySum) / count / logLatencyScale;
+    auto const square = static_cast<double>(counters.logLatencySquareSum) / count / logLatencyScale / logLatencyScale;
+    // Equal samples have no spread of their own; a floor keeps a handful of them from counting as certain.
+    return { mean, std::max(square - mean * mean, 0.1), count };
+}
+
+/// The old version on one route: by zone, and over all zones.
+struct Baseline {
+    std::map<std::string, Counters> zones;
+    Counters all;
+
+    Counters const* zone(std::string const& name) const
+    {
+        auto const position = zones.find(name);
+        return position != zones.end() && position->second.calls() >= minimumBaseline ? &position->second : nullptr;
+    }
+    double toleratedRate(std::string const& name) const
+    {
+        auto const* own = zone(name);
+        return std::min(0.95, std::max(toleratedFailureRate, toleratedRatio * failureRate(own ? *own : all)));
+    }
+    bool isHealthy(std::string const& name) const
+    {
+        auto const* own = zone(name);
+        return own && failureRate(*own) < healthyFailureRate;
+    }
+};
+
+using Samples = std::vector<Sample>;
+
+/// Leaves out the targets with the highest score: one, or one in ten.
+Samples withoutWorstTargets(Samples const& samples, unsigned targetCount, double (*score)(Counters const&))
+{
+    if (targetCount <= 1)
+        return samples;
+    std::map<uint32_t, Counters> targets;
+    for (auto const& sample : samples)
+        targets[sample.target] += sample.counters;
+    std::vector<std::pair<double, uint32_t>> scores;
+    scores.reserve(targets.size());
+    for (auto const& [target, counters] : targets)
+        scores.emplace_back(score(counters), target);
+    std::sort(scores.rbegin(), scores.rend());
+    std::set<uint32_t> excluded;
+    for (size_t index = 0; index < scores.size() && index < std::max<size_t>(1, targets.size() / 10); ++index)
+        excluded.insert(scores[index].second);
+    Samples rest;
+    std::copy_if(samples.begin(), samples.end(), std::back_inserter(rest),
+        [&](Sample const& sample) { return !excluded.contains(sample.target); });
+    return rest;
+}
+
+/// Leaves out the zone with the highest score, unless the old version is healthy there.
+Samples withoutFaultyZone(Samples const& samples, Baseline const& baseline, double (*score)(Counters const&))
+{
+    std::map<std::string, Counters> zones;
+    for (auto const& sample : samples)
+        zones[sample.zone] += sample.counters;
+    auto const worst = std::max_element(zones.begin(), zones.end(),
+        [&](auto const& left, auto const& right) { return score(left.second) < score(right.second); });
+    if (worst == zones.end() || baseline.isHealthy(worst->first))
+        return samples;
+    auto rest = samples;
+    if (zones.size() > 1) {
+        std::erase_if(rest, [&](Sample const& sample) { return sample.zone == worst->first; });
+        return rest;
+    }
+    // With a single zone and nothing to compare with, lost connections may be the zone's fault; error answers are not.
+    for (auto& sample : rest)
+        sample.counters.lost = 0;
+    return rest;
+}
+
+double failuresScore(Counters const& counters) { return static_cast<double>(counters.failures + counters.lost); }
+double slownessScore(Counters const& counters) { return spreadOf(counters).mean; }
+
+std::optional<std::string> findFailures(Samples const& samples, Baseline const& baseline, unsigned targetCount)
+{
+    auto const rest
+        = withoutFaultyZone(withoutWorstTargets(samples, targetCount, failuresScore), baseline, failuresScore);
+    uint64_t calls = 0;
+    uint64_t failures = 0;
+    double expected = 0;
+    for (auto const& sample : rest) {
+        calls += sample.counters.calls();
+        failures += sample.counters.failures + sample.counters.lost;
+        expected += static_cast<double>(sample.counters.calls()) * baseline.toleratedRate(sample.zone);
+    }
+    if (failures < minimumFailures
+        || tailProbability(calls, failures, expected / static_cast<double>(calls)) >= significance)
+        return {};
+    return "failures=" + std::to_string(failures) + " calls=" + std::to_string(calls);
+}
+
+std::optional<std::string> findSlowness(Samples const& samples, Baseline const& baseline, unsigned targetCount)
+{
+    auto const rest
+        = withoutFaultyZone(withoutWorstTargets(samples, targetCount, slownessScore), baseline, slownessScore);
+    std::map<std::string, Counters> zones;
+    for (auto const& sample : rest)
+        zones[sample.zone] += sample.counters;
+    double count = 0;
+    double difference = 0;
+    double variance = 0;
+    for (auto const& [zone, counters] : zones) {
+        auto const* own = baseline.zone(zone);
+        auto const newer = spreadOf(counters);
+        auto const older = spreadOf(own ? *own : baseline.all);
+        if (newer.count == 0 || older.count < static_cast<double>(minimumBaseline))
+            continue;
+        count += newer.count;
+        difference += newer.count * (newer.mean - older.mean);
+        variance += newer.count * newer.count * (newer.variance / newer.count + older.variance / older.count);
+    }
+    if (count < static_cast<double>(minimumTimed))
+        return {};
+    difference /= count;
+    auto const error = std::sqrt(variance) / count;
+    if (difference < slowDifference || difference - slowDeviations * error < slowLowerBound)
+        return {};
+    return "slower_times=" + std::to_string(std::exp2(difference)).substr(0, 4);
+}
+
+std::optional<std::string> findFault(CountersByKey const& newer, CountersByKey const& older, unsigned targetCount)
+{
+    // The empty route name stands for all routes together.
+    std::map<std::string, Samples> samplesByRoute;
+    std::map<std::string, Baseline> baselines;
+    for (auto const& [key, counters] : newer) {
+        samplesByRoute[key.route].push_back({ key.availabilityZone, key.target, counters });
+        samplesByRoute[""].push_back({ key.availabilityZone, key.target, counters });
+    }
+    for (auto const& [key, counters] : older) {
+        for (auto const& route : { key.route, std::string() }) {
+            baselines[route].zones[key.availabilityZone] += counters;
+            baselines[route].all += counters;
+        }
+    }
+    for (auto const& [route, samples] : samplesByRoute) {
+        auto const& baseline = baselines[route];
+        auto fault = findFailures(samples, baseline, targetCount);
+        // Routes differ in latency, so their mixture says nothing about slowness.
+        if (!fault && !route.empty())
+            fault = findSlowness(samples, baseline, targetCount);
+        if (fault)
+            return "route=" + (route.empty() ? "all" : route) + " " + *fault;
+    }
+    return {};
+}
+
+}
+
+Verdict judge(Move const& move, Evidence const& evidence, MoveScope const& scope, WallTime now)
+{
+    if (auto const reason = evidence.badReason(move.id))
+        return { VerdictKind::Bad, *reason };
+    if (!move.isJudged() || move.isFinal() || now < move.start)
+        return {};
+    // The recent window finds a fault that began late, the whole one a fault that thin traffic shows slowly.
+    auto fault = findFault(
+        evidence.recent(move.service, move.to, now), evidence.recent(move.service, move.from, now), scope.targetCount);
+    if (!fault)
+        fault = findFault(evidence.sinceStart(move.service, move.to, move.start),
+            evidence.sinceStart(move.service, move.from, move.start), scope.targetCount);
+    if (!fault)
+        return {};
+    return { VerdictKind::Bad, "version=" + move.to + " " + *fault };
+}
+
+}
--- /dev/null
+++ b/Libraries/LibMoves/Share.cpp
@@ -0,0 +1,80 @@
+#include <LibMoves/Share.h>
+#include <algorithm>
+#include <cmath>
+
+namespace Comfreysail::Moves {
+
+using Core::WallTime;
+
+namespace {
+
+// docs/notes/moves.md gives the measurements behind these numbers.
+constexpr double firstShare = 0.01;
+constexpr double routeShare = 0.05; ///< Until each route is proven.
+constexpr double loadShare = 0.10;  ///< Until the version is proven under load.
+constexpr uint64_t firstSuccesses = 20;
+constexpr uint64_t routeSuccesses = 30;
+constexpr uint64_t loadedSuccesses = 30;
+constexpr uint64_t loadSuccesses = 300; ///< Each doubling of the share beyond `loadShare` needs twice as many.
+// Parts of the time between start and finish: the pace reaches the full share with time left for a verdict; traffic too
+// thin to prove anything moves anyway from `unprovenFrom` on.
+constexpr double paceEnds = 0.8;
+constexpr double unprovenFrom = 0.6;
+constexpr double unprovenEnds = 0.95;
+
+double paceAt(double progress) { return std::pow(firstShare, std::max(0.0, 1 - progress / paceEnds)); }
+
+double unprovenShareAt(double progress)
+{
+    if (progress < unprovenFrom)
+        return 0;
+    auto const part = (progress - unprovenFrom) / (unprovenEnds - unprovenFrom);
+    return std::pow(routeShare, std::max(0.0, 1 - part));
+}
+
+double provenShare(Move const& move, Evidence const& evidence, MoveScope const& scope)
+{
+    Counters total;
+    std::map<std::string, uint64_t> successesByRoute;
+    for (auto const& [key, counters] : evidence.sinceStart(move.service, move.to, move.start)) {
+        total += counters;
+        successesByRoute[key.route] += counters.successes;
+    }
+    if (total.successes < firstSuccesses)
+        return firstShare;
+    auto const isProven = [&](std::string const& route) { return successesByRoute[route] >= routeSuccesses; };
+    if (!std::all_of(scope.routes.begin(), scope.routes.end(), isProven))
+        return routeShare;
+    if (total.successes < loadSuccesses || total.loadedSuccesses < loadedSuccesses)
+        return loadShare;
+    auto const doublings = std::floor(std::log2(static_cast<double>(total.successes) / loadSuccesses)) + 1;
+    return loadShare * std::pow(2, doublings);
+}
+
+}
+
+double shareAt(Move const& move, Evidence const& evidence, MoveScope const& scope, WallTime now)
+{
+    if (move.state == MoveState::TakenBack || evidence.badReason(move.id))
+        return 0;
+    if (move.state == MoveState::Done)
+        return 1;
+    auto const time = move.state == MoveState::Paused && move.pausedAt ? std::min(*move.pausedAt, now) : now;
+    if (time < move.start)
+        return 0;
+    if (time >= move.finishBy)
+        return 1;
+    auto const progress
+        = static_cast<double>((time - move.start).count()) / static_cast<double>((move.finishBy - move.start).count());
+    if (!move.isJudged())
+        return std::min(1.0, progress / paceEnds);
+    return std::min(paceAt(progress), std::max(provenShare(move, evidence, scope), unprovenShareAt(progress)));
+}
+
+unsigned targetLimitAt(double share, unsigned targetCount)
+{
+    auto const needed = static_cast<unsigned>(std::ceil(std::clamp(share, 0.0, 1.0) * targetCount));
+    return std::min(std::max(needed, 2U), targetCount);
+}
+
+}
