LibWire: Add the protobuf messages and their conversions

Daemons exchange eight messages. A value outside its range gives MalformedMessage instead of a truncated field. Names and origins of an evidence delta go into tables, since its entries share few of them.

LibStore owns the rows of moves, so LibMoves no longer has an encoding of its own, and a department move names the department in from, as LibStore does.

--- a/Libraries/LibMoves/Move.h
+++ b/Libraries/LibMoves/Move.h
@@ -20,10 +20,9 @@
 struct Move {
     std::string id;
     MoveKind kind { MoveKind::Version };
-    std::string service;    ///< Empty: every service. Never empty for a version move.
-    std::string department; ///< Of a department move.
-    std::string from;       ///< Version, or availability zone.
-    std::string to;         ///< Empty in a department move: the department leaves.
+    std::string service; ///< Empty: every service. Never empty for a version move.
+    std::string from;    ///< Version, availability zone, or department.
+    std::string to;      ///< Empty for a zone: any other zone. Empty for a department: it leaves when the move is done.
     Core::WallTime start;
     Core::WallTime finishBy;
     MoveState state { MoveState::Declared };
@@ -34,8 +33,8 @@
     bool operator==(Move const&) const = default;
 
     bool isFinal() const { return state == MoveState::Done || state == MoveState::TakenBack; }
-    /// Whether it moves requests to another version of one service, so that evidence about that version counts.
-    bool isJudged() const { return kind != MoveKind::AvailabilityZone && !to.empty() && !service.empty(); }
+    /// Whether evidence about the version `to` decides; zones and departments are moved by the clock alone.
+    bool isJudged() const { return kind == MoveKind::Version; }
 };
 
 }
--- a/Libraries/LibMoves/Moves.h
+++ b/Libraries/LibMoves/Moves.h
@@ -7,7 +7,6 @@
 #include <LibMoves/EvidenceDelta.h>
 #include <LibMoves/Judge.h>
 #include <LibMoves/Move.h>
-#include <LibMoves/MoveRow.h>
 #include <LibMoves/MoveStep.h>
 #include <LibMoves/Observation.h>
 #include <LibMoves/Share.h>
--- a/Libraries/LibMoves/Share.cpp
+++ b/Libraries/LibMoves/Share.cpp
@@ -66,6 +66,9 @@
         return 1;
     auto const progress
         = static_cast<double>((time - move.start).count()) / static_cast<double>((move.finishBy - move.start).count());
+    // A department that leaves keeps its whole service to the end.
+    if (move.kind == MoveKind::Department && move.to.empty())
+        return 0;
     if (!move.isJudged())
         return std::min(1.0, progress / paceEnds);
     return std::min(paceAt(progress), std::max(provenShare(move, evidence, scope), unprovenShareAt(progress)));
--- /dev/null
+++ b/Libraries/LibWire/CrashReport.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace Comfreysail::Wire {
+
+/// A request fingerprint was in flight when the connection to a target instance ended without a response.
+struct CrashReport {
+    uint64_t fingerprint { 0 };
+    std::string target;
+
+    bool operator==(CrashReport const&) const = default;
+};
+
+}
--- a/Services/comfreysaild/ControlPlane.h
+++ b/Services/comfreysaild/ControlPlane.h
@@ -64,11 +64,14 @@
     /// retry stays on its version. Cheap.
     VersionChoice versionFor(
         std::string_view service, std::string_view department, std::string_view route, double uniform) const;
-    /// The availability zone whose group serves a request that would go to `zone`, by the moves between zones. Cheap.
+    /// The availability zone whose group serves a request that would go to `zone`, by the moves between zones; empty
+    /// for any other zone. Cheap.
     std::string zoneFor(std::string_view service, std::string_view zone, double uniform) const;
+    /// The department whose settings and share apply to a request of `department`, by the moves of departments. Cheap.
+    std::string departmentFor(std::string_view service, std::string_view department, double uniform) const;
     /// Availability zones that receive no new work: out in the settings, or moved away completely. Cheap.
     std::shared_ptr<std::set<std::string, std::less<>> const> zonesOut() const;
-    /// Departments that left by a completed move. Cheap.
+    /// Departments that left by a completed move and have no successor; their requests are refused. Cheap.
     std::shared_ptr<std::set<std::string, std::less<>> const> departmentsOut() const;
 
     /// One finished send to a target. Cheap when the service has no running move.
--- /dev/null
+++ b/Tests/LibWire/TestCodec.cpp
@@ -0,0 +1,102 @@
+#include <LibWire/Wire.h>
+#include <Wire.pb.h>
+#include <catch2/catch.hpp>
+
+using namespace Comfreysail;
+using namespace Comfreysail::Wire;
+
+namespace {
+
+Membership::Member member(std::string name, uint64_t incarnation)
+{
+    return { std::move(name), incarnation, "arima", "127.0.0.1", 8000, 9000, Membership::MemberState::Draining };
+}
+
+std::vector<Body> bodies()
+{
+    Membership::Heartbeat heartbeat { { member("vm-1", 77), 70'000 }, 5, 99, { 1, 256, 65'535 },
+        { { member("vm-2", 3), 4 } }, true };
+    Moves::EvidenceKey const key { "orders", "v2", "submit", "arima", 4'000'000'000 };
+    Moves::EvidenceDelta evidence { { { "vm-1", 77, key, -1'800'000'000'000, { 1, 2, 3, 4, 5, 6, 7 } },
+        { "vm-2", 3, key, 1'800'000'000, { 9, 0, 0, 0, 0, 0, ~uint64_t { 0 } } } } };
+    return { heartbeat, SettingsRequest { 3 }, SettingsReply { 4, "change", "hash", "[defaults]\n" },
+        LoadReport { "orders", "arima", 1, 2, 3, 4 }, CrashReport { ~uint64_t { 0 }, "target-1" }, evidence,
+        MoveVerdict { "m1", "route=submit" }, DrainNotice { true } };
+}
+
+std::string envelopeWith(std::function<void(Protobuf::Envelope&)> const& change)
+{
+    Protobuf::Envelope envelope;
+    envelope.set_sender("vm-1");
+    change(envelope);
+    return envelope.SerializeAsString();
+}
+
+}
+
+// A field that is left out of a conversion would be zero at the receiver without any error.
+TEST_CASE("Codec_EveryMessage_IsTheSameAfterDecoding")
+{
+    for (auto const& body : bodies()) {
+        CAPTURE(body.index());
+        Message const message { "vm-1", 77, 12, body };
+        auto const decoded = decode(encode(message));
+        REQUIRE_FALSE(Core::isError(decoded));
+        CHECK(Core::valueOf(decoded) == message);
+    }
+}
+
+// A message that is cut off must neither crash the daemon nor be taken for another one.
+TEST_CASE("Codec_TruncatedMessage_GivesMalformedMessageOrAnotherValue")
+{
+    for (auto const& body : bodies()) {
+        Message const message { "vm-1", 77, 12, body };
+        auto const bytes = encode(message);
+        for (size_t length = 0; length < bytes.size(); ++length) {
+            auto const decoded = decode(std::string_view(bytes).substr(0, length));
+            if (Core::isError(decoded))
+                CHECK(Core::errorOf(decoded).kind == Core::ErrorKind::MalformedMessage);
+            else
+                CHECK_FALSE(Core::valueOf(decoded) == message);
+        }
+    }
+}
+
+// Values outside their range come from a faulty or newer peer; an unchecked one is read out of bounds or truncated.
+TEST_CASE("Codec_ValueOutOfRange_GivesMalformedMessage")
+{
+    using Protobuf::Envelope;
+    auto const heartbeatWith = [](auto change) {
+        return [change](Envelope& envelope) {
+            auto& sender = *envelope.mutable_heartbeat()->mutable_sender();
+            sender.set_availability_zone("arima");
+            sender.set_address("127.0.0.1");
+            change(*envelope.mutable_heartbeat());
+        };
+    };
+    std::vector<std::pair<std::string, std::function<void(Envelope&)>>> const cases {
+        { "no body", [](Envelope&) {} },
+        { "sender name", [](Envelope& envelope) { envelope.set_sender("A b"), envelope.mutable_drain_notice(); } },
+        { "port", heartbeatWith([](auto& heartbeat) { heartbeat.mutable_sender()->set_peer_http_port(70'000); }) },
+        { "state", heartbeatWith([](auto& heartbeat) { heartbeat.mutable_sender()->set_state(3); }) },
+        { "odd beats", heartbeatWith([](auto& heartbeat) { heartbeat.set_beats("abc"); }) },
+        { "too many beats", heartbeatWith([](auto& heartbeat) { heartbeat.set_beats(std::string(20'000, 'a')); }) },
+        { "unnamed change", heartbeatWith([](auto& heartbeat) { heartbeat.add_changes(); }) },
+        { "evidence count", [](Envelope& envelope) { envelope.mutable_evidence_delta()->add_entries(0); } },
+        { "evidence index",
+            [](Envelope& envelope) {
+                for (int index = 0; index < 14; ++index)
+                    envelope.mutable_evidence_delta()->add_entries(1);
+            } },
+        { "settings revision", [](Envelope& envelope) { envelope.mutable_settings_reply()->set_toml("a = 1"); } },
+        { "load name", [](Envelope& envelope) { envelope.mutable_load_report()->set_service("/"); } },
+        { "crash target", [](Envelope& envelope) { envelope.mutable_crash_report()->set_target(""); } },
+        { "verdict move", [](Envelope& envelope) { envelope.mutable_move_verdict()->set_reason("r"); } },
+    };
+    for (auto const& [name, change] : cases) {
+        CAPTURE(name);
+        auto const decoded = decode(envelopeWith(change));
+        REQUIRE(Core::isError(decoded));
+        CHECK(Core::errorOf(decoded).kind == Core::ErrorKind::MalformedMessage);
+    }
+}
