--- a/Libraries/LibClaims/ClaimStep.cpp
+++ b/Libraries/LibClaims/ClaimStep.cpp
@@ -165,12 +165,23 @@
 }
 
 /// Finishing and releasing: the write is repeated until it is known to have taken effect or to be impossible.
-ClaimStep closing(ClaimState state, ClaimEvent const& event)
+ClaimStep closing(ClaimState state, ClaimEvent const& event, Core::WallTime now)
 {
     if (std::holds_alternative<WriteCommitted>(event))
         return ended(std::move(state));
-    if (std::holds_alternative<CommitAnswerLost>(event) || std::holds_alternative<StoreDown>(event))
+    // The row may have been deleted and written again by another claim, whose state must not be changed.
+    if (now >= state.row.expiresAt)
+        return ended(std::move(state));
+    if (std::holds_alternative<CommitAnswerLost>(event))
+        return { std::move(state), StoreAction::Read, std::nullopt };
+    if (std::holds_alternative<StoreDown>(event))
         return { std::move(state), StoreAction::Write, std::nullopt };
+    if (auto const* read = std::get_if<RowRead>(&event)) {
+        bool const isOurs = read->found && read->found->row.claimId == state.row.claimId;
+        if (isOurs && read->found->row.state == RowState::Claimed)
+            return { std::move(state), StoreAction::Write, std::nullopt };
+        return ended(std::move(state));
+    }
     // A conflict means that an earlier copy of this write took effect, or that the row expired and was replaced.
     if (std::holds_alternative<WriteConflicted>(event))
         return ended(std::move(state));
@@ -199,7 +210,7 @@
         return sent(state, event);
     case ClaimPhase::Finishing:
     case ClaimPhase::Releasing:
-        return closing(state, event);
+        return closing(state, event, now);
     case ClaimPhase::Ended:
         break;
     }
--- /dev/null
+++ b/Tests/LibClaims/ClaimModel.cpp
@@ -0,0 +1,262 @@
+#include "ClaimModel.h"
+#include <algorithm>
+
+namespace Comfreysail::Claims {
+
+namespace {
+
+// Era 0: before the start-by time. Era 1: after it and the timeout. Era 2: after the expiry of rows from era 0.
+constexpr unsigned lastEra = 2;
+
+}
+
+ClaimModel::ClaimModel(ModelLimits limits)
+    : m_limits(std::move(limits))
+{
+}
+
+Core::WallTime ClaimModel::now(World const& world) const { return start + world.era * 3 * second; }
+
+std::optional<std::string> ClaimModel::explore()
+{
+    World world;
+    world.holders.resize(m_limits.holders);
+    return visit(world);
+}
+
+std::optional<std::string> ClaimModel::visit(World first)
+{
+    std::vector<World> open { std::move(first) };
+    while (!open.empty()) {
+        auto const world = std::move(open.back());
+        open.pop_back();
+        if (auto broken = brokenRule(world))
+            return broken;
+        for (auto& next : successors(world)) {
+            if (m_seen.insert(describe(next)).second)
+                open.push_back(std::move(next));
+        }
+    }
+    return std::nullopt;
+}
+
+std::string ClaimModel::describe(World const& world) const
+{
+    std::string text;
+    auto const add = [&](auto value) { text.append(std::to_string(static_cast<int64_t>(value))).append(1, ','); };
+    auto const addRow = [&](ClaimRow const& row) {
+        text.append(row.claimId);
+        add(row.state);
+        add(row.startBy.time_since_epoch().count());
+    };
+    for (auto const& holder : world.holders) {
+        add(holder.isRunning + 2 * holder.hasCrashed + 4 * holder.holderWaits + 8 * holder.toldNotRun
+            + 16 * holder.hasRun + 32 * holder.state.mayBeWritten + 64 * holder.state.isAnswered
+            + 128 * holder.answerIsToWrite);
+        add(holder.sends);
+        add(holder.state.phase);
+        addRow(holder.state.row);
+        add(holder.state.expectedVersion);
+        add(holder.call);
+        add(holder.request);
+        if (holder.call == Call::Answered) {
+            add(holder.answer.index());
+            if (auto const* committed = std::get_if<WriteCommitted>(&holder.answer))
+                add(committed->version);
+            auto const* conflicted = std::get_if<WriteConflicted>(&holder.answer);
+            auto const* read = std::get_if<RowRead>(&holder.answer);
+            auto const found = conflicted ? conflicted->found : read ? read->found : std::nullopt;
+            if (found) {
+                addRow(found->row);
+                add(found->version);
+            }
+        }
+        for (auto const& late : holder.lateWrites) {
+            addRow(late.row);
+            add(late.expectedVersion);
+        }
+        text.append(1, ';');
+    }
+    if (world.stored) {
+        addRow(world.stored->row);
+        add(world.stored->version);
+    }
+    for (auto value : { world.lostAnswers, world.storeFailures, world.crashes, world.era, world.runsInEra[0],
+             world.runsInEra[1], static_cast<unsigned>(world.lastVersion) })
+        add(value);
+    return text;
+}
+
+std::optional<std::string> ClaimModel::brokenRule(World const& world)
+{
+    if (world.runsInEra[0] > 1 || world.runsInEra[1] > 1)
+        return "the request ran twice";
+    for (auto const& holder : world.holders) {
+        if (holder.toldNotRun && holder.hasRun)
+            return "a request that was refused as not run has run";
+        if (holder.hasRun && holder.era == 0 && world.runsInEra[1] > 0 && world.runsInEra[0] == 0)
+            return "a holder ran the request after its row expired";
+    }
+    if (world.stored && world.stored->row.state == RowState::Released) {
+        auto const& holder = world.holders.at(static_cast<size_t>(world.stored->row.claimId.front() - 'a'));
+        if (holder.hasRun || holder.request == Request::OnTheWay)
+            return "a released claim runs";
+    }
+    return std::nullopt;
+}
+
+std::vector<ClaimModel::World> ClaimModel::successors(World const& world) const
+{
+    std::vector<World> next;
+    addWorldSteps(world, next);
+    for (size_t index = 0; index < world.holders.size(); ++index) {
+        addCallSteps(world, index, next);
+        addRequestSteps(world, index, next);
+    }
+    return next;
+}
+
+void ClaimModel::addWorldSteps(World const& world, std::vector<World>& next) const
+{
+    if (m_limits.clockAdvances && world.era < lastEra)
+        ++next.emplace_back(world).era;
+    if (world.stored && world.stored->row.expiresAt <= now(world))
+        next.emplace_back(world).stored.reset();
+    for (size_t index = 0; index < world.holders.size(); ++index) {
+        auto const& holder = world.holders[index];
+        // The holders are alike, so they begin in order.
+        if (!holder.isRunning && (index == 0 || world.holders[index - 1].isRunning)) {
+            auto& copy = next.emplace_back(world);
+            auto row = exampleRow(std::string(1, static_cast<char>('a' + index)));
+            row.startBy = now(world) + second;
+            row.expiresAt = now(world) + 6 * second;
+            copy.holders[index].isRunning = true;
+            copy.holders[index].era = world.era;
+            follow(copy.holders[index], firstStep(std::move(row)));
+        }
+        if (holder.isRunning && !holder.hasCrashed && world.crashes < m_limits.crashes) {
+            auto& copy = next.emplace_back(world);
+            ++copy.crashes;
+            copy.holders[index].hasCrashed = true;
+            // A write that was under way may still arrive.
+            if (holder.call == Call::Write)
+                copy.holders[index].lateWrites.push_back({ holder.state.row, holder.state.expectedVersion });
+            copy.holders[index].call = Call::None;
+        }
+        for (size_t late = 0; late < holder.lateWrites.size(); ++late) {
+            auto& copy = next.emplace_back(world);
+            applyWrite(copy, holder.lateWrites[late]);
+            auto& writes = copy.holders[index].lateWrites;
+            writes.erase(writes.begin() + static_cast<std::ptrdiff_t>(late));
+        }
+    }
+}
+
+void ClaimModel::addCallSteps(World const& world, size_t index, std::vector<World>& next) const
+{
+    auto const& holder = world.holders[index];
+    if (holder.hasCrashed || !holder.isRunning)
+        return;
+    if (holder.state.phase == ClaimPhase::Inserting || holder.state.phase == ClaimPhase::Resolving)
+        tell(next.emplace_back(world), index, WaitEnded {});
+    if (holder.call == Call::None)
+        return;
+    bool const isWrite = holder.call == Call::Write || (holder.call == Call::Answered && holder.answerIsToWrite);
+    if (holder.call == Call::Answered) {
+        tell(next.emplace_back(world), index, holder.answer);
+    } else {
+        auto& applied = next.emplace_back(world);
+        auto& caller = applied.holders[index];
+        caller.answer = isWrite ? applyWrite(applied, { caller.state.row, caller.state.expectedVersion })
+                                : ClaimEvent(RowRead { applied.stored });
+        caller.answerIsToWrite = isWrite;
+        caller.call = Call::Answered;
+        if (world.storeFailures < m_limits.storeFailures) {
+            auto& failed = next.emplace_back(world);
+            ++failed.storeFailures;
+            tell(failed, index, StoreDown {});
+        }
+    }
+    if (isWrite && world.lostAnswers < m_limits.lostAnswers) {
+        auto& lost = next.emplace_back(world);
+        ++lost.lostAnswers;
+        if (holder.call == Call::Write)
+            lost.holders[index].lateWrites.push_back({ holder.state.row, holder.state.expectedVersion });
+        tell(lost, index, CommitAnswerLost {});
+    }
+}
+
+void ClaimModel::addRequestSteps(World const& world, size_t index, std::vector<World>& next) const
+{
+    auto const& holder = world.holders[index];
+    bool const isHeld = !holder.hasCrashed && holder.isRunning && holder.state.phase == ClaimPhase::Held;
+    if (isHeld)
+        tell(next.emplace_back(world), index, GaveUp {});
+    if (isHeld && holder.sends < 2) {
+        auto& copy = next.emplace_back(world);
+        tell(copy, index, SendStarted {});
+        auto& sender = copy.holders[index];
+        if (sender.state.phase == ClaimPhase::Sent) {
+            ++sender.sends;
+            sender.request = Request::OnTheWay;
+            sender.holderWaits = true;
+        }
+    }
+    if (holder.request == Request::OnTheWay) {
+        bool const isLate = m_limits.targetEnforcesStartBy && now(world) > holder.state.row.startBy;
+        auto& copy = next.emplace_back(world);
+        copy.holders[index].request = isLate ? Request::None : Request::Ran;
+        if (!isLate) {
+            copy.holders[index].hasRun = true;
+            ++copy.runsInEra[world.era == lastEra ? 1 : 0];
+        }
+        // The request did not reach a target, and the holder knows it.
+        auto& failed = next.emplace_back(world);
+        failed.holders[index].request = Request::None;
+    }
+    if (!holder.holderWaits || holder.hasCrashed)
+        return;
+    auto const learn = [&](ClaimEvent const& event) {
+        auto& copy = next.emplace_back(world);
+        copy.holders[index].holderWaits = false;
+        tell(copy, index, event);
+    };
+    learn(SendOutcomeUnknown {});
+    if (holder.request == Request::Ran)
+        learn(AnswerReceived { 201 });
+    if (holder.request == Request::None)
+        learn(SendDidNotRun {});
+}
+
+void ClaimModel::tell(World& world, size_t index, ClaimEvent const& event) const
+{
+    auto& holder = world.holders[index];
+    bool const endsCall = event.index() <= ClaimEvent(RowRead {}).index();
+    if (endsCall)
+        holder.call = Call::None;
+    follow(holder, m_limits.step(holder.state, event, now(world)));
+}
+
+void ClaimModel::follow(Holder& holder, ClaimStep step) const
+{
+    holder.state = std::move(step.state);
+    if (step.action != StoreAction::None)
+        holder.call = step.action == StoreAction::Write ? Call::Write : Call::Read;
+    if (step.answer) {
+        auto const* error = std::get_if<Core::Error>(&*step.answer);
+        if (error && Core::errorRule(error->kind).outcome == Core::RequestOutcome::NotRun)
+            holder.toldNotRun = true;
+    }
+}
+
+ClaimEvent ClaimModel::applyWrite(World& world, Write const& write)
+{
+    auto const version = world.stored ? world.stored->version : 0;
+    if (version != write.expectedVersion)
+        return WriteConflicted { world.stored };
+    // Versions are not used again after a row was deleted.
+    world.stored = VersionedRow { write.row, ++world.lastVersion };
+    return WriteCommitted { world.lastVersion };
+}
+
+}
--- /dev/null
+++ b/Tests/LibClaims/ClaimModel.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "ClaimFixture.h"
+#include <functional>
+#include <unordered_set>
+
+namespace Comfreysail::Claims {
+
+using StepFunction = std::function<ClaimStep(ClaimState const&, ClaimEvent const&, Core::WallTime)>;
+
+/// What the model allows.
+struct ModelLimits {
+    unsigned holders { 2 };
+    unsigned lostAnswers { 2 }; ///< Lost answers and writes that arrive late, together.
+    unsigned storeFailures { 1 };
+    unsigned crashes { 1 };
+    bool clockAdvances { false }; ///< To a time after all start-by times, then past the expiry of the first rows.
+    bool targetEnforcesStartBy { true };
+    StepFunction step { nextStep };
+};
+
+/// Explores every order of steps of several holders that race on one key. A pause of a holder is an order in which the
+/// others go on without it.
+class ClaimModel {
+public:
+    explicit ClaimModel(ModelLimits);
+
+    /// Returns the first broken rule, or nothing.
+    std::optional<std::string> explore();
+
+    size_t stateCount() const { return m_seen.size(); }
+
+private:
+    enum class Call : uint8_t { None, Write, Read, Answered };
+    enum class Request : uint8_t { None, OnTheWay, Ran };
+
+    struct Write {
+        ClaimRow row;
+        int64_t expectedVersion { 0 };
+    };
+
+    struct Holder {
+        bool isRunning { false };
+        bool hasCrashed { false };
+        unsigned sends { 0 };
+        unsigned era { 0 };
+        ClaimState state;
+        Call call { Call::None };
+        ClaimEvent answer; ///< Of the table service, on its way when call is Answered.
+        bool answerIsToWrite { false };
+        std::vector<Write> lateWrites;
+        Request request { Request::None };
+        bool holderWaits { false }; ///< For the target's answer.
+        bool toldNotRun { false };
+        bool hasRun { false };
+    };
+
+    struct World {
+        std::vector<Holder> holders;
+        std::optional<VersionedRow> stored;
+        int64_t lastVersion { 0 };
+        unsigned lostAnswers { 0 };
+        unsigned storeFailures { 0 };
+        unsigned crashes { 0 };
+        unsigned era { 0 };
+        std::vector<unsigned> runsInEra { 0, 0 };
+    };
+
+    Core::WallTime now(World const&) const;
+    std::string describe(World const&) const;
+    std::optional<std::string> visit(World);
+    std::vector<World> successors(World const&) const;
+    void addCallSteps(World const&, size_t holder, std::vector<World>&) const;
+    void addRequestSteps(World const&, size_t holder, std::vector<World>&) const;
+    void addWorldSteps(World const&, std::vector<World>&) const;
+    void tell(World&, size_t holder, ClaimEvent const&) const;
+    void follow(Holder&, ClaimStep) const;
+    static ClaimEvent applyWrite(World&, Write const&);
+    static std::optional<std::string> brokenRule(World const&);
+
+    ModelLimits m_limits;
+    std::unordered_set<std::string> m_seen;
+};
+
+}
--- /dev/null
+++ b/Tests/LibClaims/TestClaimModel.cpp
@@ -0,0 +1,89 @@
+#include "ClaimModel.h"
+#include <catch2/catch.hpp>
+
+using namespace Comfreysail;
+using namespace Comfreysail::Claims;
+
+// Two VMs racing on one key, lost answers, late writes, a dead holder and store failures must never run it twice.
+TEST_CASE("ClaimModel_TwoHolders_EveryOrder_RunsAtMostOnce")
+{
+    ClaimModel model({ .holders = 2, .lostAnswers = 2, .storeFailures = 1, .crashes = 1 });
+    auto const broken = model.explore();
+    CHECK(broken == std::nullopt);
+    CHECK(model.stateCount() > 10000);
+}
+
+// A third holder can find the row between two writes of the others.
+TEST_CASE("ClaimModel_ThreeHolders_EveryOrder_RunsAtMostOnce")
+{
+    ClaimModel model({ .holders = 3, .lostAnswers = 1, .storeFailures = 0, .crashes = 0 });
+    CHECK(model.explore() == std::nullopt);
+    CHECK(model.stateCount() > 10000);
+}
+
+// A paused holder that wakes after its row was deleted must not run the request.
+TEST_CASE("ClaimModel_ExpiredRow_PausedHolderWakes_DoesNotRun")
+{
+    ClaimModel model({ .holders = 2, .lostAnswers = 1, .storeFailures = 0, .crashes = 1, .clockAdvances = true });
+    CHECK(model.explore() == std::nullopt);
+}
+
+struct BrokenRuleCase {
+    std::string name;
+    ModelLimits limits;
+};
+
+ClaimStep takeOverClaimedRow(ClaimState const& state, ClaimEvent const& event, Core::WallTime now)
+{
+    auto const* conflicted = std::get_if<WriteConflicted>(&event);
+    if (!conflicted || !conflicted->found || conflicted->found->row.state != RowState::Claimed)
+        return nextStep(state, event, now);
+    auto released = *conflicted;
+    released.found->row.state = RowState::Released;
+    return nextStep(state, released, now);
+}
+
+ClaimStep trustLostAnswer(ClaimState const& state, ClaimEvent const& event, Core::WallTime now)
+{
+    if (state.phase == ClaimPhase::Inserting && std::holds_alternative<CommitAnswerLost>(event))
+        return nextStep(state, WriteCommitted { 1 }, now);
+    return nextStep(state, event, now);
+}
+
+ClaimStep releaseUnknown(ClaimState const& state, ClaimEvent const& event, Core::WallTime now)
+{
+    if (!std::holds_alternative<SendOutcomeUnknown>(event))
+        return nextStep(state, event, now);
+    return nextStep(nextStep(state, SendDidNotRun {}, now).state, GaveUp {}, now);
+}
+
+ClaimStep sendAfterRefusal(ClaimState const& state, ClaimEvent const& event, Core::WallTime now)
+{
+    auto step = nextStep(state, event, now);
+    if (std::holds_alternative<WaitEnded>(event))
+        step.state.isAnswered = false;
+    return step;
+}
+
+// The model must see each of these faults; otherwise its silence about the real rules proves nothing.
+TEST_CASE("ClaimModel_BrokenRule_IsFound")
+{
+    ModelLimits const limits { .holders = 2, .lostAnswers = 1, .storeFailures = 0, .crashes = 1 };
+    auto const withStep = [&](StepFunction step) {
+        auto broken = limits;
+        broken.step = std::move(step);
+        return broken;
+    };
+    auto withoutStartBy = limits;
+    withoutStartBy.clockAdvances = true;
+    withoutStartBy.targetEnforcesStartBy = false;
+    auto const example = GENERATE_COPY(values<BrokenRuleCase>({
+        { "a claimed row is taken over", withStep(takeOverClaimedRow) },
+        { "a lost answer counts as committed", withStep(trustLostAnswer) },
+        { "an unknown outcome is released", withStep(releaseUnknown) },
+        { "a refused request is sent later", withStep(sendAfterRefusal) },
+        { "targets ignore the start-by time", withoutStartBy },
+    }));
+    CAPTURE(example.name);
+    CHECK(ClaimModel(example.limits).explore().has_value());
+}
