--- /dev/null
+++ b/Libraries/LibHTTP/ClientConnection.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <LibCore/Result.h>
+#include <LibCore/Time.h>
+#include <LibHTTP/Message.h>
+#include <LibHTTP/MessageReader.h>
+#include <LibHTTP/Stream.h>
+#include <boost/asio/steady_timer.hpp>
+#include <compare>
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace Comfreysail::HTTP {
+
+struct Endpoint {
+    std::string address; ///< IP address.
+    uint16_t port { 0 };
+
+    auto operator<=>(Endpoint const&) const = default;
+};
+
+/// Gives the next piece of a request body, 0 at its end.
+using BodySource = std::function<awaitable<Core::Result<size_t>>(std::span<char>)>;
+
+/// A connection to a target or to another daemon. One exchange at a time, all on the strand of one session.
+class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
+public:
+    ClientConnection(asio::any_io_executor, Endpoint, ReadLimits);
+
+    Endpoint const& endpoint() const { return m_endpoint; }
+
+    /// Error: ConnectFailed.
+    awaitable<Core::Result<Core::Empty>> connect();
+
+    /// Sends a request whose body is in memory. `body` must stay valid until the exchange ends or close() is called.
+    /// A large body is sent while the response is read, because the target may answer before it has read all of it.
+    /// Error: ConnectFailed when surely no byte left this machine. Other send errors show in readHead().
+    awaitable<Core::Result<Core::Empty>> send(RequestHead const&, std::shared_ptr<std::string const> body);
+
+    /// Sends a request whose body comes from `source` while the response is read. When the source fails, the
+    /// connection is closed. The source is no longer called after close().
+    awaitable<Core::Result<Core::Empty>> sendStreaming(RequestHead const&, BodySource source);
+
+    /// Waits until a body that is being sent has been sent or given up.
+    awaitable<void> waitForSender();
+
+    awaitable<Core::Result<ResponseHead>> readHead(std::string_view requestMethod);
+    awaitable<Core::Result<size_t>> readBody(std::span<char> into);
+
+    /// Closes at once; operations in progress end with an error. Called on the strand.
+    void close();
+
+    /// True when a byte of the current request may have left this machine.
+    bool hasSent() const { return m_hasSent; }
+    bool isSending() const { return m_isSending; }
+    bool hasBufferedBody() const { return !m_stream.received.isEmpty(); }
+
+    /// True when the response is complete, nothing follows it and the target keeps the connection open.
+    bool isReusable() const;
+
+    /// True when an idle connection is still open and silent.
+    bool isQuiet() { return m_stream.isQuiet(); }
+
+    Core::Instant openedAt() const { return m_openedAt; }
+    std::optional<Core::Instant> lastResponseAt() const { return m_lastResponseAt; }
+    void noteResponse(Core::Instant now) { m_lastResponseAt = now; }
+
+private:
+    awaitable<bool> write(std::string_view, std::string_view = {}, std::string_view = {});
+    awaitable<void> sendBody(std::shared_ptr<std::string const>);
+    awaitable<void> sendFrom(BodySource, bool chunked);
+    void spawn(std::function<awaitable<void>()>, asio::any_io_executor);
+
+    Endpoint m_endpoint;
+    ReadLimits m_limits;
+    Stream m_stream;
+    std::unique_ptr<ResponseReader> m_reader;
+    Core::Instant m_openedAt {};
+    std::optional<Core::Instant> m_lastResponseAt;
+    std::shared_ptr<asio::steady_timer> m_senderDone; ///< Cancelled when the sender ends.
+    bool m_hasSent { false };
+    bool m_isSending { false };
+    bool m_isClosed { false };
+    bool m_targetKeepsAlive { false };
+};
+
+}
--- /dev/null
+++ b/Libraries/LibHTTP/ConnectionPool.cpp
@@ -0,0 +1,105 @@
+#include <LibHTTP/ConnectionPool.h>
+
+#include <algorithm>
+
+namespace Comfreysail::HTTP {
+
+namespace {
+
+constexpr auto recentlyUsed = std::chrono::seconds(1); // design.md, section 3.5
+
+}
+
+ConnectionPool::ConnectionPool(asio::io_context& context, PoolOptions options)
+    : m_context(context)
+    , m_options(options)
+{
+}
+
+std::shared_ptr<ClientConnection> ConnectionPool::create(Endpoint const& endpoint)
+{
+    return std::make_shared<ClientConnection>(m_context.get_executor(), endpoint, m_options.limits);
+}
+
+std::shared_ptr<ClientConnection> ConnectionPool::take(
+    Endpoint const& endpoint, ReusePolicy policy, Core::Instant now)
+{
+    if (policy == ReusePolicy::None)
+        return nullptr;
+    auto const maxAge = policy == ReusePolicy::RecentlyUsed ? Core::Duration(recentlyUsed) : m_options.maxIdleTime;
+    std::lock_guard const lock(m_mutex);
+    auto const found = m_entries.find(endpoint);
+    if (found == m_entries.end())
+        return nullptr;
+    auto& entry = found->second;
+    while (!entry.idle.empty()) {
+        auto connection = entry.idle.back();
+        if (now - connection->lastResponseAt().value_or(Core::Instant {}) > maxAge)
+            return nullptr; // The others were used even longer ago.
+        if (entry.unresponsiveOpenedAt && connection->openedAt() <= *entry.unresponsiveOpenedAt)
+            return nullptr;
+        entry.idle.pop_back();
+        if (connection->isQuiet())
+            return connection;
+        connection->close();
+    }
+    return nullptr;
+}
+
+void ConnectionPool::giveBack(std::shared_ptr<ClientConnection> connection, Core::Instant now)
+{
+    connection->noteResponse(now);
+    bool const isReusable = connection->isReusable() && connection->isQuiet();
+    if (!isReusable)
+        connection->close();
+    std::lock_guard const lock(m_mutex);
+    auto& entry = m_entries[connection->endpoint()];
+    if (entry.unresponsiveOpenedAt && connection->openedAt() > *entry.unresponsiveOpenedAt) {
+        std::erase_if(entry.idle, [&](auto const& idle) { return idle->openedAt() <= *entry.unresponsiveOpenedAt; });
+        entry.unresponsiveOpenedAt.reset();
+    }
+    if (!isReusable)
+        return;
+    entry.idle.push_back(std::move(connection));
+    if (entry.idle.size() > m_options.maxIdlePerEndpoint)
+        entry.idle.erase(entry.idle.begin());
+}
+
+void ConnectionPool::discard(std::shared_ptr<ClientConnection> connection, bool wasUnresponsive)
+{
+    connection->close();
+    if (!wasUnresponsive)
+        return;
+    std::lock_guard const lock(m_mutex);
+    auto& horizon = m_entries[connection->endpoint()].unresponsiveOpenedAt;
+    horizon = std::max(horizon.value_or(Core::Instant {}), connection->openedAt());
+}
+
+void ConnectionPool::closeExpired(Core::Instant now)
+{
+    std::lock_guard const lock(m_mutex);
+    for (auto& [endpoint, entry] : m_entries) {
+        std::erase_if(entry.idle, [&](auto const& idle) {
+            return now - idle->lastResponseAt().value_or(Core::Instant {}) > m_options.maxIdleTime || !idle->isQuiet();
+        });
+    }
+    std::erase_if(m_entries,
+        [](auto const& item) { return item.second.idle.empty() && !item.second.unresponsiveOpenedAt; });
+}
+
+void ConnectionPool::closeAll()
+{
+    std::lock_guard const lock(m_mutex);
+    m_entries.clear();
+}
+
+size_t ConnectionPool::idleConnections() const
+{
+    std::lock_guard const lock(m_mutex);
+    size_t count = 0;
+    for (auto const& [endpoint, entry] : m_entries)
+        count += entry.idle.size();
+    return count;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibHTTP/ServerExchange.cpp
@@ -0,0 +1,173 @@
+#include <LibHTTP/ServerExchange.h>
+
+#include <array>
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/bind_executor.hpp>
+#include <boost/asio/write.hpp>
+#include <sys/socket.h>
+
+namespace Comfreysail::HTTP {
+
+using Core::Result;
+
+struct ServerExchange::Watch {
+    asio::cancellation_signal signal;
+    std::function<void()> onGone;
+    bool isStopped { false };
+};
+
+ServerExchange::ServerExchange(Stream& stream, RequestReader& reader, RequestHead head,
+    ExchangeWatchdogs const& watchdogs, ServerOptions const& options, asio::any_io_executor strand)
+    : m_stream(stream)
+    , m_reader(reader)
+    , m_head(std::move(head))
+    , m_watchdogs(watchdogs)
+    , m_options(options)
+    , m_strand(std::move(strand))
+    , m_keepAlive(m_head.keepAlive)
+    , m_mustSendContinue(m_head.expectsContinue && m_head.hasBody())
+{
+}
+
+ServerExchange::~ServerExchange() { stopWatching(); }
+
+awaitable<Result<size_t>> ServerExchange::readBody(std::span<char> into)
+{
+    if (m_mustSendContinue && !m_isStarted) {
+        m_mustSendContinue = false;
+        if (m_stream.received.isEmpty() && !co_await write("HTTP/1.1 100 Continue\r\n\r\n"))
+            co_return Core::Error { Core::ErrorKind::CallerGone, "the caller closed before its body" };
+    }
+    m_watchdogs.read->arm(Core::monotonicNow() + m_options.stallTimeout, [&stream = m_stream] { stream.reset(); });
+    auto result = co_await m_reader.readBody(into);
+    m_watchdogs.read->disarm();
+    co_return result;
+}
+
+void ServerExchange::cancelRead()
+{
+    m_keepAlive = false;
+    ErrorCode ignored;
+    m_stream.socket.cancel(ignored);
+}
+
+bool ServerExchange::sendsBody() const { return m_head.method != "HEAD" && !m_statusForbidsBody; }
+
+void ServerExchange::startResponse(ResponseHead head)
+{
+    m_keepAlive = m_keepAlive && head.keepAlive;
+    // A caller that still waits for "100 Continue" may or may not send its body, so the next request cannot be found.
+    if (m_mustSendContinue)
+        m_keepAlive = false;
+    head.keepAlive = m_keepAlive;
+    m_statusForbidsBody = statusForbidsBody(head.status);
+    if (sendsBody()) {
+        m_isChunked = head.chunked;
+        if (!head.chunked && !head.contentLength)
+            head.contentLength = 0;
+        m_bodyBytesLeft = head.chunked ? std::nullopt : head.contentLength;
+    } else if (head.status == 204) {
+        head.chunked = false;
+        head.contentLength.reset();
+    }
+    m_unsentHead = serialize(head);
+    m_isStarted = true;
+}
+
+awaitable<bool> ServerExchange::write(std::string_view first, std::string_view second, std::string_view third)
+{
+    if (m_isAborted || !m_stream.socket.is_open())
+        co_return false;
+    m_watchdogs.write->arm(Core::monotonicNow() + m_options.stallTimeout, [&stream = m_stream] { stream.reset(); });
+    std::array<asio::const_buffer, 3> const buffers { asio::buffer(first.data(), first.size()),
+        asio::buffer(second.data(), second.size()), asio::buffer(third.data(), third.size()) };
+    auto const [error, size] = co_await asio::async_write(m_stream.socket, buffers, useTuple);
+    m_watchdogs.write->disarm();
+    co_return !error;
+}
+
+awaitable<bool> ServerExchange::flush()
+{
+    if (m_unsentHead.empty())
+        co_return !m_isAborted;
+    auto const head = std::move(m_unsentHead);
+    m_unsentHead.clear();
+    co_return co_await write(head);
+}
+
+awaitable<bool> ServerExchange::sendBody(std::string_view data)
+{
+    if (!sendsBody() || data.empty())
+        co_return co_await flush();
+    if (m_bodyBytesLeft) {
+        if (data.size() > *m_bodyBytesLeft)
+            co_return false;
+        *m_bodyBytesLeft -= data.size();
+    }
+    auto prefix = std::move(m_unsentHead);
+    m_unsentHead.clear();
+    if (!m_isChunked)
+        co_return co_await write(prefix, data);
+    prefix.append(chunkPrefix(data.size()));
+    co_return co_await write(prefix, data, chunkSuffix);
+}
+
+awaitable<bool> ServerExchange::finish()
+{
+    if (m_bodyBytesLeft.value_or(0) > 0) {
+        abort();
+        co_return false;
+    }
+    auto tail = std::move(m_unsentHead);
+    m_unsentHead.clear();
+    if (m_isChunked && sendsBody())
+        tail.append(lastChunk);
+    if (!tail.empty() && !co_await write(tail))
+        co_return false;
+    m_isFinished = !m_isAborted;
+    co_return m_isFinished;
+}
+
+awaitable<bool> ServerExchange::respond(ResponseHead head, std::string_view body)
+{
+    head.contentLength = body.size();
+    startResponse(std::move(head));
+    if (!co_await sendBody(body))
+        co_return false;
+    co_return co_await finish();
+}
+
+void ServerExchange::abort()
+{
+    m_isAborted = true;
+    m_stream.reset();
+}
+
+void ServerExchange::watchCaller(std::function<void()> onGone)
+{
+    stopWatching();
+    m_watch = std::make_shared<Watch>();
+    m_watch->onGone = std::move(onGone);
+    auto handler = [watch = m_watch, &stream = m_stream](ErrorCode error) {
+        if (watch->isStopped || error)
+            return;
+        char byte = 0;
+        auto const count = ::recv(stream.socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        if (count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK))
+            watch->onGone();
+    };
+    m_stream.socket.async_wait(tcp::socket::wait_read,
+        asio::bind_cancellation_slot(m_watch->signal.slot(), asio::bind_executor(m_strand, std::move(handler))));
+}
+
+void ServerExchange::stopWatching()
+{
+    if (!m_watch)
+        return;
+    m_watch->isStopped = true;
+    m_watch->onGone = nullptr;
+    m_watch->signal.emit(asio::cancellation_type::terminal);
+    m_watch.reset();
+}
+
+}
--- /dev/null
+++ b/Libraries/LibHTTP/ServerExchange.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include <LibCore/Result.h>
+#include <LibHTTP/Message.h>
+#include <LibHTTP/MessageReader.h>
+#include <LibHTTP/ServerOptions.h>
+#include <LibHTTP/Watchdog.h>
+#include <boost/asio/cancellation_signal.hpp>
+#include <functional>
+#include <memory>
+#include <span>
+#include <string_view>
+
+namespace Comfreysail::HTTP {
+
+/// Reading and writing have one each, because a streamed body is read while the response is written.
+struct ExchangeWatchdogs {
+    std::shared_ptr<Watchdog> read;
+    std::shared_ptr<Watchdog> write;
+};
+
+/// One request and its response on a server connection, as the handler sees it. Everything runs on the strand of the
+/// connection. Send functions return false when the caller's connection is gone.
+class ServerExchange {
+public:
+    ServerExchange(Stream&, RequestReader&, RequestHead, ExchangeWatchdogs const&, ServerOptions const&,
+        asio::any_io_executor strand);
+    ~ServerExchange();
+    ServerExchange(ServerExchange const&) = delete;
+    ServerExchange& operator=(ServerExchange const&) = delete;
+
+    RequestHead const& head() const { return m_head; }
+    asio::any_io_executor const& strand() const { return m_strand; }
+
+    /// The next piece of the request body, 0 at its end. The first call sends "100 Continue" when the caller waits for
+    /// it. Errors: MalformedRequest, CallerGone.
+    awaitable<Core::Result<size_t>> readBody(std::span<char> into);
+    /// Ends a readBody() in progress with CallerGone. The rest of the body is lost, so the connection closes later.
+    void cancelRead();
+    bool isBodyFinished() const { return !m_head.hasBody() || m_reader.isFinished(); }
+
+    /// Starts the response. The head is kept until flush(), sendBody() or finish(), so that a short response is one
+    /// write. `head.keepAlive` may only lower what the connection allows.
+    void startResponse(ResponseHead);
+    awaitable<bool> flush();
+    awaitable<bool> sendBody(std::string_view);
+    /// Ends the response. False also when fewer body bytes were sent than Content-Length announced.
+    awaitable<bool> finish();
+
+    /// A whole response with a body in one call.
+    awaitable<bool> respond(ResponseHead, std::string_view body);
+
+    /// Gives the response up: the connection is reset, so that the caller cannot take it for complete.
+    void abort();
+
+    /// Calls `onGone` on the strand when the caller closes its connection, also when it closes only its sending side.
+    /// Only after the request body was read to its end.
+    /// FIXME: Not noticed while a pipelined request waits to be read, because its bytes hide the end of the stream.
+    void watchCaller(std::function<void()> onGone);
+    void stopWatching();
+
+    /// The connection closes after this response, for example because the daemon shuts down.
+    void closeAfterResponse() { m_keepAlive = false; }
+
+    bool isResponseStarted() const { return m_isStarted; }
+    bool isResponseFinished() const { return m_isFinished; }
+    bool mayKeepAlive() const { return m_keepAlive && m_isFinished && !m_isAborted; }
+
+private:
+    struct Watch;
+
+    awaitable<bool> write(std::string_view first, std::string_view second = {}, std::string_view third = {});
+    bool sendsBody() const;
+
+    Stream& m_stream;
+    RequestReader& m_reader;
+    RequestHead m_head;
+    ExchangeWatchdogs const& m_watchdogs;
+    ServerOptions const& m_options;
+    asio::any_io_executor m_strand;
+    std::shared_ptr<Watch> m_watch;
+    std::string m_unsentHead;
+    std::optional<uint64_t> m_bodyBytesLeft;
+    bool m_isChunked { false };
+    bool m_statusForbidsBody { false };
+    bool m_keepAlive;
+    bool m_mustSendContinue;
+    bool m_isStarted { false };
+    bool m_isFinished { false };
+    bool m_isAborted { false };
+};
+
+}
--- /dev/null
+++ b/Libraries/LibHTTP/Watchdog.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <LibCore/Time.h>
+#include <LibHTTP/Asio.h>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace Comfreysail::HTTP {
+
+/// One deadline that moves often and expires rarely. Moving it later does not touch the timer queue, which would cost
+/// a lock and a system call for each request. All calls and the expiry run on one strand.
+class Watchdog : public std::enable_shared_from_this<Watchdog> {
+public:
+    static std::shared_ptr<Watchdog> create(asio::any_io_executor strand);
+
+    /// Replaces the deadline. `onExpiry` runs once, on the strand, and must not keep the watchdog's owner alive.
+    void arm(Core::Instant deadline, std::function<void()> onExpiry);
+    void disarm();
+
+private:
+    explicit Watchdog(asio::any_io_executor strand);
+    void wait(Core::Instant until);
+    void onTimer();
+
+    asio::steady_timer m_timer;
+    std::optional<Core::Instant> m_deadline;
+    std::optional<Core::Instant> m_wakesAt;
+    uint64_t m_waitNumber { 0 };
+    std::function<void()> m_onExpiry;
+};
+
+}
