--- a/Libraries/LibTelemetry/LatencyHistogram.cpp
+++ b/Libraries/LibTelemetry/LatencyHistogram.cpp
@@ -9,6 +9,7 @@
 constexpr double lowestSeconds = 50e-6;
 constexpr double highestSeconds = 120;
 constexpr unsigned bucketCount = 80;
+constexpr size_t coarseStep = 4;
 constexpr double microsecondsPerSecond = 1e6;
 
 }
@@ -64,4 +65,15 @@
     return result;
 }
 
+std::vector<CumulativeBucket> LatencyHistogram::coarseBuckets() const
+{
+    auto const all = buckets();
+    std::vector<CumulativeBucket> coarse;
+    coarse.reserve(all.size() / coarseStep + 2);
+    for (size_t index = 0; index + 1 < all.size(); index += coarseStep)
+        coarse.push_back(all[index]);
+    coarse.push_back(all.back());
+    return coarse;
+}
+
 }
--- a/Libraries/LibTelemetry/LatencyHistogram.h
+++ b/Libraries/LibTelemetry/LatencyHistogram.h
@@ -33,6 +33,10 @@
     /// Buckets in rising order; the last one counts every sample and has an infinite upper bound.
     std::vector<CumulativeBucket> buckets() const;
 
+    /// Every fourth bucket, so bounds about double. Used for export: with all 80 buckets, 390 histograms took 1.2 MB
+    /// and 16 ms for each scrape.
+    std::vector<CumulativeBucket> coarseBuckets() const;
+
 private:
     using Axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
     using SharedCount = boost::histogram::accumulators::count<uint64_t, true>;
--- a/Libraries/LibTelemetry/MetricRegistry.cpp
+++ b/Libraries/LibTelemetry/MetricRegistry.cpp
@@ -51,7 +51,7 @@
 
 void writeHistogram(std::ostream& out, std::string const& name, Labels const& labels, LatencyHistogram const& histogram)
 {
-    auto const buckets = histogram.buckets();
+    auto const buckets = histogram.coarseBuckets();
     uint64_t previousCount = 0;
     for (auto const& bucket : buckets) {
         // Empty buckets are left out: cumulative counts stay correct and the page stays small.
--- a/Tests/LibTelemetry/TestTelemetry.cpp
+++ b/Tests/LibTelemetry/TestTelemetry.cpp
@@ -1,5 +1,6 @@
 #include <LibTelemetry/Telemetry.h>
 #include <catch2/catch.hpp>
+#include <cmath>
 #include <thread>
 
 using namespace Comfreysail;
@@ -41,6 +42,21 @@
     CHECK(LatencyHistogram().percentile(0.99) == Core::Duration(0));
 }
 
+// A scrape with all buckets of 390 histograms took 1.2 MB, more than the control budget of 29 KB/s allows.
+TEST_CASE("LatencyHistogram_CoarseBuckets_KeepCountsAndStayFew")
+{
+    LatencyHistogram histogram;
+    for (int milliseconds = 1; milliseconds <= 1000; ++milliseconds)
+        histogram.add(std::chrono::milliseconds(milliseconds));
+    auto const coarse = histogram.coarseBuckets();
+    CHECK(coarse.size() <= 23);
+    CHECK(coarse.back() == histogram.buckets().back());
+    for (auto const& bucket : coarse) {
+        auto const expected = std::min(1000.0, std::floor(bucket.upperBoundSeconds * 1000));
+        CHECK(static_cast<double>(bucket.count) == Approx(expected).margin(1));
+    }
+}
+
 // Workers add samples without a lock; a lost sample would make the count too low.
 TEST_CASE("LatencyHistogram_ConcurrentAdds_LoseNothing")
 {
