--- a/Libraries/LibHTTP/Server.cpp
+++ b/Libraries/LibHTTP/Server.cpp
@@ -83,8 +83,7 @@
             co_await refuse(errorOf(head));
             co_return false;
         }
-        ServerExchange exchange(
-            m_stream, reader, takeValue(std::move(head)), m_watchdogs, options, m_strand);
+        ServerExchange exchange(m_stream, reader, takeValue(std::move(head)), m_watchdogs, options, m_strand);
         if (m_server->m_closesAfterResponses)
             exchange.closeAfterResponse();
         co_await m_server->m_handler(exchange);
--- a/Libraries/LibStore/ChangeMove.cpp
+++ b/Libraries/LibStore/ChangeMove.cpp
@@ -21,6 +21,21 @@
     return latest;
 }
 
+/// What the row that is there means for a declaration.
+Core::Result<MoveResult> resultOfDeclaration(MoveRow const& wanted, Row const& present, bool wasAnswerLost)
+{
+    auto parsed = MoveRow::fromRow(present);
+    if (Core::isError(parsed))
+        return Core::errorOf(parsed);
+    auto row = Core::takeValue(std::move(parsed));
+    auto outcome = MoveResult::Outcome::Conflict;
+    if (row.changeId == wanted.changeId && wasAnswerLost)
+        outcome = MoveResult::Outcome::Changed;
+    else if (row.changeId == wanted.changeId || hasSameDefinition(row, wanted))
+        outcome = MoveResult::Outcome::AlreadyThere;
+    return MoveResult { outcome, std::move(row) };
+}
+
 CallbackTask runDeclare(StorePort port, MoveRow move, Core::Instant deadline, Callback<MoveResult> callback)
 {
     if (auto const faults = move.faults(); !faults.empty()) {
@@ -38,33 +53,27 @@
     // The insert is conditional on an absent row, so sending it again after a lost response is harmless.
     for (int attempt = 0; attempt < maxAttempts; ++attempt) {
         auto const sent = co_await transact(port, operations, deadline);
-        if (Core::isError(sent)) {
-            latest = Core::errorOf(sent);
-            if (latest.kind == Core::ErrorKind::StoreOutcomeUnknown)
-                lostAnswer = latest;
-            if (!lostAnswer)
-                break;
-            continue;
-        }
-        auto const& result = Core::valueOf(sent);
-        if (result.isCommitted()) {
-            move.rowVersion = result.versions.at(0);
-            callback(MoveResult { MoveResult::Outcome::Changed, std::move(move) });
-            co_return;
-        }
-        auto const& conflict = result.conflicts[0];
-        auto present = MoveRow::fromRow({ move.id, conflict.version, conflict.value });
-        if (Core::isError(present)) {
-            callback(Core::errorOf(present));
+        if (!Core::isError(sent)) {
+            auto const& result = Core::valueOf(sent);
+            if (result.isCommitted()) {
+                move.rowVersion = result.versions.at(0);
+                callback(MoveResult { MoveResult::Outcome::Changed, std::move(move) });
+            } else {
+                auto const& conflict = result.conflicts[0];
+                Row const present { move.id, conflict.version, conflict.value };
+                callback(resultOfDeclaration(move, present, lostAnswer.has_value()));
+            }
             co_return;
         }
-        auto row = Core::takeValue(std::move(present));
-        auto outcome = MoveResult::Outcome::Conflict;
-        if (row.changeId == move.changeId && lostAnswer)
-            outcome = MoveResult::Outcome::Changed;
-        else if (row.changeId == move.changeId || hasSameDefinition(row, move))
-            outcome = MoveResult::Outcome::AlreadyThere;
-        callback(MoveResult { outcome, std::move(row) });
+        latest = Core::errorOf(sent);
+        if (latest.kind == Core::ErrorKind::StoreOutcomeUnknown)
+            lostAnswer = latest;
+        if (!lostAnswer)
+            break;
+        auto const read = co_await readRow(port, std::string(movesTable), move.id, deadline);
+        if (Core::isError(read) || !Core::valueOf(read))
+            continue;
+        callback(resultOfDeclaration(move, *Core::valueOf(read), true));
         co_return;
     }
     callback(storeError(lostAnswer, latest));
--- a/Libraries/LibStore/HttpCaller.cpp
+++ b/Libraries/LibStore/HttpCaller.cpp
@@ -88,6 +88,9 @@
                 co_return failure(false, "cannot connect to " + m_options.subject + ": " + connectCode.message());
             connection->stream.socket().set_option(asio::ip::tcp::no_delay(true), code);
         }
+        // An expired timer does not stop an operation that can complete at once.
+        if (Core::monotonicNow() >= request.deadline)
+            co_return failure(false, "the deadline passed before the request was sent");
         bool mayHaveArrived = false;
         auto answer = co_await exchangeOn(*connection, request, mayHaveArrived);
         if (!Core::isError(answer)) {
--- /dev/null
+++ b/Tests/comfreysail/TestComfreysail.cpp
@@ -0,0 +1,274 @@
+#include <LibStore/Store.h>
+#include <Support/ChildProcess.h>
+#include <Support/ScriptedServer.h>
+#include <Support/SettingsText.h>
+#include <atomic>
+#include <boost/json.hpp>
+#include <catch2/catch.hpp>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+
+namespace json = boost::json;
+
+using namespace Comfreysail;
+using Tests::Finished;
+using Tests::ScriptedServer;
+using Tests::settingsText;
+
+namespace {
+
+/// A platform, a folder for settings files, and the tool on both.
+struct Fixture {
+    Tests::ChildProcess platform { { COMFREYSAIL_BIN_DIR "/FakePlatform" } };
+    std::string address;
+    std::filesystem::path folder;
+
+    Fixture()
+    {
+        auto const line = platform.readLine();
+        address = "127.0.0.1:" + line.substr(line.find(" port=") + 6);
+        auto pattern = (std::filesystem::temp_directory_path() / "comfreysail-XXXXXX").string();
+        folder = mkdtemp(pattern.data());
+    }
+
+    ~Fixture() { std::filesystem::remove_all(folder); }
+
+    std::string file(std::string const& name, std::string const& text) const
+    {
+        std::ofstream(folder / name) << text;
+        return folder / name;
+    }
+
+    Finished tool(std::vector<std::string> arguments) const
+    {
+        arguments.insert(arguments.begin(), COMFREYSAIL_BIN_DIR "/comfreysail");
+        arguments.insert(arguments.end(), { "--platform", address });
+        return Tests::runProgram(arguments);
+    }
+
+    /// Runs the tool with --output json.
+    json::object toolJson(std::vector<std::string> arguments) const
+    {
+        arguments.insert(arguments.end(), { "--output", "json" });
+        auto const finished = tool(std::move(arguments));
+        auto object = json::parse(finished.output).as_object();
+        CHECK(object["exit_code"] == finished.code);
+        return object;
+    }
+
+    void setFaults(std::string const& body) const { curl("POST", "/faults", body); }
+
+    void curl(std::string const& method, std::string const& path, std::string const& body) const
+    {
+        auto const finished
+            = Tests::runProgram({ "/usr/bin/curl", "-sf", "-X", method, "--data", body, "http://" + address + path });
+        REQUIRE(finished.code == 0);
+    }
+};
+
+/// A daemon's admin port: it adopts a pushed revision unless it is stuck.
+class FakeAdmin {
+public:
+    FakeAdmin(std::string name, bool isStuck)
+        : m_name(std::move(name))
+        , m_isStuck(isStuck)
+        , m_server([this](std::string const& request) { return respond(request); })
+    {
+    }
+
+    std::string address() const { return "127.0.0.1:" + std::to_string(m_server.port()); }
+    std::vector<std::string> requests() const { return m_server.requests(); }
+
+private:
+    std::string respond(std::string const& request)
+    {
+        if (request.starts_with("POST /settings ")) {
+            auto const head = Store::SettingsHead::fromJson(request.substr(request.find("\r\n\r\n") + 4), "push");
+            if (Core::isError(head) || m_isStuck)
+                return ScriptedServer::answer(503, "{}");
+            m_revision = Core::valueOf(head).revision.revision;
+            return ScriptedServer::answer(200, "{}");
+        }
+        return ScriptedServer::answer(200,
+            json::serialize(
+                json::object { { "name", m_name }, { "revision", m_revision.load() }, { "ready", !m_isStuck } }));
+    }
+
+    std::string m_name;
+    bool m_isStuck;
+    std::atomic<uint64_t> m_revision { 0 };
+    ScriptedServer m_server;
+};
+
+struct UsageCase {
+    std::vector<std::string> arguments;
+    std::string part; ///< Of the message.
+};
+
+}
+
+// A mistyped option must not be passed over: the command would do something else than was meant.
+TEST_CASE("Tool_UsageFault_ExitsWith2AndNamesIt")
+{
+    auto const example = GENERATE(values<UsageCase>({ { {}, "a command is required" }, { { "aply", "f" }, "aply" },
+        { { "apply" }, "needs a FILE" }, { { "apply", "a", "b" }, "\"b\"" }, { { "apply", "f", "--wiat" }, "wiat" },
+        { { "apply", "f" }, "--platform is required" },
+        { { "apply", "f", "--platform", "localhost:1" }, "--platform must be" },
+        { { "apply", "f", "--platform", "127.0.0.1:1", "--service", "x" }, "does not take --service" },
+        { { "apply", "f", "--platform", "127.0.0.1:1", "--expect", "x" }, "expect" },
+        { { "apply", "f", "--platform", "127.0.0.1:1", "--change-id", "A b" }, "--change-id must be" },
+        { { "show", "timeout", "--platform", "127.0.0.1:1" }, "timeout_ms" },
+        { { "status", "--output", "xml", "--timeout", "0" }, "--output must be" },
+        { { "moves", "stop", "m", "--platform", "127.0.0.1:1" }, "take-back" },
+        { { "moves", "pause", "--platform", "127.0.0.1:1" }, "needs the id" },
+        { { "moves", "declare", "m", "--kind", "zone", "--platform", "127.0.0.1:1" }, "--finish-by must be" } }));
+    CAPTURE(example.arguments);
+    auto arguments = example.arguments;
+    arguments.insert(arguments.begin(), COMFREYSAIL_BIN_DIR "/comfreysail");
+    auto const finished = Tests::runProgram(arguments);
+    CHECK(finished.code == 2);
+    CHECK(finished.output.empty());
+    CHECK_THAT(finished.errors, Catch::Matchers::Contains(example.part));
+}
+
+TEST_CASE("Tool_HelpAndVersion_ExitWith0")
+{
+    auto const help = Tests::runProgram({ COMFREYSAIL_BIN_DIR "/comfreysail", "--help" });
+    CHECK(help.code == 0);
+    for (auto const* part : { "apply FILE", "take-back", "--admin-port", "Exit codes", "4  outcome unknown" })
+        CHECK_THAT(help.output, Catch::Matchers::Contains(part));
+    CHECK(Tests::runProgram({ COMFREYSAIL_BIN_DIR "/comfreysail", "--version" }).output == "comfreysail 0.1.0\n");
+}
+
+TEST_CASE_METHOD(Fixture, "Tool_Apply_ReportsEachOutcome")
+{
+    auto const one = file("1.toml", settingsText(1));
+    auto const two = file("2.toml", settingsText(2));
+    auto const invalid = tool({ "apply", file("bad.toml", "[defaults]\nweight = 0\nx = 1\n") });
+    CHECK(invalid.code == 2);
+    CHECK_THAT(invalid.errors,
+        Catch::Matchers::Contains("bad.toml:2: defaults.weight")
+            && Catch::Matchers::Contains("bad.toml:3: defaults.x"));
+    CHECK(tool({ "apply", (folder / "none.toml").string() }).code == 2);
+
+    auto accepted = toolJson({ "apply", one, "--change-id", "c1", "--expect", "0" });
+    CHECK(accepted["outcome"] == "accepted");
+    CHECK(accepted["revision"] == 1);
+    CHECK(toolJson({ "apply", one, "--change-id", "c1", "--expect", "0" })["outcome"] == "already_accepted");
+    CHECK(toolJson({ "apply", two, "--change-id", "c1" })["outcome"] == "change_id_reused");
+
+    auto const stale = tool({ "apply", two, "--expect", "7" });
+    CHECK(stale.code == 3);
+    CHECK_THAT(stale.errors, Catch::Matchers::Contains("revision 1 of change c1"));
+    CHECK(stale.output == "- defaults.timeout_ms = 1\n+ defaults.timeout_ms = 2\n");
+
+    auto const diff = tool({ "diff", two });
+    CHECK(diff.code == 0);
+    CHECK(diff.output == "# revision 1, change c1\n" + stale.output);
+    CHECK(tool({ "show", "--toml" }).output == settingsText(1));
+    auto const shown = tool({ "show", "timeout_ms", "--service", "orders", "--department", "registry" });
+    CHECK(shown.output == "# revision 1, change c1\ntimeout_ms = 700  # from departments.appeals\n");
+    CHECK(tool({ "show", "--service", "nope" }).code == 2);
+}
+
+struct StoreCase {
+    std::string faults;
+    int code;
+    std::string outcome;
+};
+
+// The exit code tells a script whether it may take the change as not made.
+TEST_CASE_METHOD(Fixture, "Tool_ApplyWithStoreAtFault_ExitCodeIsTrue")
+{
+    auto const example = GENERATE(values<StoreCase>({ { R"({"mode":"down"})", 1, "failed" },
+        { R"({"mode":"hang"})", 1, "failed" }, { R"({"mode":"lose_answers"})", 0, "accepted" },
+        // Reads fit into the timeout, the write does not, and takes effect later.
+        { R"({"mode":"slow","delay_ms":800})", 4, "unknown" }, { R"({"mode":"down","count":4})", 0, "accepted" } }));
+    CAPTURE(example.faults);
+    setFaults(example.faults);
+    auto const settings = file("1.toml", settingsText(1));
+    // Three reads come before the write: the base, the head and the change's own row.
+    auto result = toolJson({ "apply", settings, "--change-id", "c1", "--timeout", "2.8" });
+    CHECK(result["exit_code"] == example.code);
+    CHECK(result["outcome"] == json::value(example.outcome));
+    setFaults(R"({"mode":"up"})");
+    // The slow write may arrive before or after this one.
+    auto again = toolJson({ "apply", settings, "--change-id", "c1" });
+    CHECK(again["exit_code"] == 0);
+    CHECK(again["revision"] == 1);
+}
+
+TEST_CASE_METHOD(Fixture, "Tool_ApplyWait_NamesTheDaemonsThatLag")
+{
+    FakeAdmin const good("vm-1", false);
+    FakeAdmin const stuck("vm-2", true);
+    auto const settings = file("1.toml", settingsText(1));
+    auto const reached = tool({ "apply", settings, "--wait", "--daemon", good.address() });
+    CHECK(reached.code == 0);
+    CHECK_THAT(reached.output, Catch::Matchers::EndsWith("in force on 1 of 1 daemons\n"));
+
+    std::vector<std::string> const all { "apply", settings, "--wait", "--timeout", "0.5", "--daemon", good.address(),
+        "--daemon", stuck.address(), "--daemon", "127.0.0.1:1" };
+    auto const lagging = tool(all);
+    CHECK(lagging.code == 1);
+    CHECK_THAT(lagging.output, Catch::Matchers::EndsWith("in force on 1 of 3 daemons\n"));
+    CHECK_THAT(lagging.errors, Catch::Matchers::Contains("vm-2 (revision 0), 127.0.0.1:1 (cannot connect"));
+    auto object = toolJson(all);
+    CHECK(object["in_force"] == 1);
+    CHECK(object["pushed"] == 1);
+    CHECK(object["lagging"] == json::array { "vm-2", "127.0.0.1:1" });
+
+    auto const none = tool({ "apply", settings, "--wait" });
+    CHECK(none.code == 1);
+    CHECK_THAT(none.errors, Catch::Matchers::Contains("no daemons are known"));
+}
+
+TEST_CASE_METHOD(Fixture, "Tool_Status_AsksTheLiveVmsOfThePlatform")
+{
+    FakeAdmin const daemon("vm-1", false);
+    auto const port = daemon.address().substr(10);
+    curl("PUT", "/v1/vms",
+        R"({"vms":[{"name":"vm-1","address":"127.0.0.1","availability_zone":"z","state":"live"},)"
+        R"({"name":"vm-2","address":"127.0.0.1","availability_zone":"z","state":"leaving"}]})");
+    auto const all = tool({ "status", "--admin-port", port });
+    CHECK(all.code == 0);
+    CHECK(all.output == "vm-1 " + daemon.address() + " revision=0 ready=true\n");
+    ScriptedServer const odd([](auto const&) { return ScriptedServer::answer(200, R"({"name":"x","ready":true})"); });
+    auto const failed = tool({ "status", "--daemon", "127.0.0.1:" + std::to_string(odd.port()) });
+    CHECK(failed.code == 1);
+    CHECK_THAT(failed.output, Catch::Matchers::Contains("no valid field \"revision\""));
+}
+
+TEST_CASE_METHOD(Fixture, "Tool_Moves_ChangeStateOnce")
+{
+    REQUIRE(tool({ "apply", file("1.toml", settingsText()) }).code == 0);
+    std::vector<std::string> const declare { "moves", "declare", "m1", "--kind", "version", "--service", "orders",
+        "--from", "v1", "--to", "v2", "--start", "2026-12-04T10:00:00Z", "--finish-by", "2026-12-04T11:00:00Z" };
+    auto declared = toolJson(declare);
+    CHECK(declared["outcome"] == "changed");
+    CHECK(declared["move"].at("start_ms") == 1'796'378'400'000);
+    CHECK(toolJson(declare)["outcome"] == "already_there");
+    CHECK(toolJson({ "moves", "pause", "m1" })["outcome"] == "changed");
+    CHECK(toolJson({ "moves", "resume", "m1" })["outcome"] == "changed");
+    CHECK(toolJson({ "moves", "take-back", "m1", "--reason", "slow" })["outcome"] == "changed");
+    CHECK(toolJson({ "moves", "take-back", "m1" })["outcome"] == "already_there");
+    CHECK(toolJson({ "moves", "resume", "m1" })["outcome"] == "conflict");
+    CHECK(tool({ "moves" }).output
+        == "m1 kind=version service=orders from=v1 to=v2 start=2026-12-04T10:00:00Z finish_by=2026-12-04T11:00:00Z "
+           "state=taken_back reason=\"slow\"\n");
+    CHECK(tool({ "moves", "pause", "m2" }).code == 1);
+
+    auto unknown = declare;
+    unknown[2] = "m2";
+    unknown[10] = "v9";
+    auto const refused = tool(unknown);
+    CHECK(refused.code == 2);
+    CHECK_THAT(refused.errors, Catch::Matchers::Contains("version \"v9\" does not exist"));
+
+    setFaults(R"({"mode":"lose_answers"})");
+    unknown[10] = "v2";
+    CHECK(toolJson(unknown)["outcome"] == "changed");
+    setFaults(R"({"mode":"down"})");
+    CHECK(tool({ "moves", "pause", "m2", "--timeout", "0.3" }).code == 1);
+}
--- a/Utilities/comfreysail/Invocation.cpp
+++ b/Utilities/comfreysail/Invocation.cpp
@@ -164,7 +164,7 @@
             if (std::ranges::find(allowed, std::string_view(name)) == allowed.end()
                 && std::ranges::find(alsoAllowed, std::string_view(name)) == alsoAllowed.end()
                 && std::ranges::find(commonOptions, std::string_view(name)) == commonOptions.end())
-                addFault(subject + " does not take --" + name);
+                addFault(std::string(subject).append(" does not take --").append(name));
         }
     }
 
