LibMembership: Share a harness between the contract tests and a bench

The member table is tested under loss, reordering, duplication, pauses, restarts and splits. A change of a member is passed on at the next tick instead of the next heartbeat.

--- /dev/null
+++ b/Benchmarks/Membership/main.cpp
@@ -0,0 +1,77 @@
+#include "Measurement.h"
+#include <algorithm>
+#include <iostream>
+#include <string>
+#include <vector>
+
+using namespace Comfreysail::Benchmarks;
+
+namespace {
+
+constexpr double budgetBytesPerSecond = 29'000;
+
+std::string_view nameOf(Failure failure)
+{
+    switch (failure) {
+    case Failure::None:
+        return "none";
+    case Failure::TenPercent:
+        return "ten_percent";
+    case Failure::OneZone:
+        return "one_zone";
+    }
+    return "";
+}
+
+/// The worst of several seeds.
+Measurement worst(Topology const& topology, size_t size, Failure failure)
+{
+    constexpr uint64_t seeds = 2;
+    Measurement result { .reachedAtOnce = 1 };
+    for (uint64_t seed = 1; seed <= seeds; ++seed) {
+        auto const one = measure(topology, size, failure, seed);
+        result.bytesPerSecondMean = std::max(result.bytesPerSecondMean, one.bytesPerSecondMean);
+        result.bytesPerSecondMax = std::max(result.bytesPerSecondMax, one.bytesPerSecondMax);
+        result.reachMs = std::max(result.reachMs, one.reachMs);
+        result.reachedAtOnce = std::min(result.reachedAtOnce, one.reachedAtOnce);
+        result.agreeMs = std::max(result.agreeMs, one.agreeMs);
+        result.falseSuspicions += one.falseSuspicions;
+    }
+    return result;
+}
+
+}
+
+int main(int argc, char** argv)
+{
+    // A size as argument restricts the bench to it.
+    std::vector<size_t> sizes { 14, 60, 200 };
+    if (argc > 1)
+        sizes = { static_cast<size_t>(std::stoul(argv[1])) };
+    Measurement summary { .reachedAtOnce = 1 };
+    for (auto const size : sizes) {
+        for (auto const& topology : { fullMesh(), randomGossip(7), overlay() }) {
+            for (auto const failure : { Failure::None, Failure::TenPercent, Failure::OneZone }) {
+                auto const result = worst(topology, size, failure);
+                std::cout << "vms=" << size << " way=" << topology.name << " failed=" << nameOf(failure)
+                          << " bytes_per_s_mean=" << static_cast<int>(result.bytesPerSecondMean)
+                          << " bytes_per_s_max=" << static_cast<int>(result.bytesPerSecondMax)
+                          << " reach_ms=" << result.reachMs << " reached_in_1s=" << result.reachedAtOnce
+                          << " agree_ms=" << result.agreeMs << " false_suspicions=" << result.falseSuspicions
+                          << std::endl;
+                if (topology.name != "overlay")
+                    continue;
+                summary.bytesPerSecondMax = std::max(summary.bytesPerSecondMax, result.bytesPerSecondMax);
+                summary.reachMs = std::max(summary.reachMs, result.reachMs);
+                summary.reachedAtOnce = std::min(summary.reachedAtOnce, result.reachedAtOnce);
+                summary.agreeMs = std::max(summary.agreeMs, result.agreeMs);
+                summary.falseSuspicions += result.falseSuspicions;
+            }
+        }
+    }
+    std::cout << "way=overlay bytes_per_s_max=" << static_cast<int>(summary.bytesPerSecondMax)
+              << " budget_bytes_per_s=" << static_cast<int>(budgetBytesPerSecond) << " reach_ms_max=" << summary.reachMs
+              << " reached_in_1s_min=" << summary.reachedAtOnce << " agree_ms_max=" << summary.agreeMs
+              << " false_suspicions=" << summary.falseSuspicions << std::endl;
+    return summary.bytesPerSecondMax <= budgetBytesPerSecond ? 0 : 1;
+}
--- a/Libraries/LibMembership/MemberTable.cpp
+++ b/Libraries/LibMembership/MemberTable.cpp
@@ -1,6 +1,5 @@
 #include <LibCore/Hash.h>
 #include <LibMembership/MemberTable.h>
-#include <LibMembership/Overlay.h>
 #include <algorithm>
 #include <limits>
 
@@ -123,7 +122,7 @@
     if (state <= m_self.member.state)
         return;
     m_self.member.state = state;
-    m_isDue = true;
+    noteChange(nullptr, m_tickedAt);
 }
 
 std::vector<Member> MemberTable::live(Instant now) const
@@ -158,7 +157,7 @@
                           [](Member const& member, std::string const& name) { return member.name < name; })
         - others.begin();
     std::vector<Member> peers;
-    for (auto const position : overlayPeers(static_cast<size_t>(self), others.size() + 1)) {
+    for (auto const position : m_options.neighbours(static_cast<size_t>(self), others.size() + 1)) {
         // Positions on the ring include this member; `others` leaves it out.
         auto const index = position > static_cast<size_t>(self) ? position - 1 : position;
         peers.push_back(others[index]);
@@ -190,7 +189,7 @@
 
 bool MemberTable::isSelf(Member const& member) const { return member.name == m_self.member.name; }
 
-bool MemberTable::adopt(MemberEntry const& entry, Instant now)
+void MemberTable::adopt(MemberEntry const& entry, Instant now)
 {
     auto const& member = entry.member;
     if (isSelf(member)) {
@@ -198,36 +197,58 @@
         if (member.incarnation == m_self.member.incarnation && member.state == MemberState::Left
             && m_self.member.state != MemberState::Left) {
             ++m_self.member.incarnation;
-            m_isDue = true;
+            noteChange(nullptr, now);
         }
-        return false;
-    }
-    // A daemon that restarted under another name at the same endpoint replaces the one that was there.
-    for (auto& [name, record] : m_records) {
-        auto& other = record.entry.member;
-        if (name == member.name || other.state == MemberState::Left || endpointOf(other) != endpointOf(member))
-            continue;
-        if (other.incarnation > member.incarnation)
-            return false;
-        other.state = MemberState::Left;
-        record.changedAt = now;
+        return;
     }
     auto const [position, isNew] = m_records.try_emplace(member.name);
     auto& record = position->second;
     auto& known = record.entry.member;
     if (isNew || member.incarnation > known.incarnation) {
+        if (isReplaced(member)) {
+            if (isNew)
+                m_records.erase(position);
+            return;
+        }
+        replaceFormer(member, now);
         // The list lags: a mark that was made for the former instance may stay on it for a while.
         record = { entry, now, now, record.isLeaving ? now + listLag : Instant {}, false };
-        return true;
+        noteChange(&record, now);
+        return;
     }
     if (member.incarnation < known.incarnation)
-        return false;
+        return;
     if (member.state > known.state) {
         known.state = member.state;
-        record.changedAt = now;
+        noteChange(&record, now);
     }
     noteBeat(record, entry.beat, now);
-    return true;
+}
+
+bool MemberTable::isAtSameEndpoint(Member const& first, Member const& second)
+{
+    return first.name != second.name && first.peerMessagePort == second.peerMessagePort
+        && first.address == second.address;
+}
+
+bool MemberTable::isReplaced(Member const& member) const
+{
+    return std::any_of(m_records.begin(), m_records.end(), [&](auto const& item) {
+        auto const& other = item.second.entry.member;
+        return other.state != MemberState::Left && other.incarnation > member.incarnation
+            && isAtSameEndpoint(other, member);
+    });
+}
+
+void MemberTable::replaceFormer(Member const& member, Instant now)
+{
+    for (auto& [name, record] : m_records) {
+        auto& other = record.entry.member;
+        if (other.state == MemberState::Left || !isAtSameEndpoint(other, member))
+            continue;
+        other.state = MemberState::Left;
+        noteChange(&record, now);
+    }
 }
 
 void MemberTable::noteBeat(Record& record, uint64_t beat, Instant now)
@@ -284,7 +305,7 @@
         }
         if (state != MemberState::Left && hasMajority && silence > m_options.forgetAfter) {
             state = MemberState::Left;
-            record->second.changedAt = now;
+            noteChange(&record->second, now);
         }
         ++record;
     }
@@ -305,6 +326,8 @@
 
 uint64_t MemberTable::viewHash() const
 {
+    if (m_viewHash)
+        return *m_viewHash;
     // Summed so that the place of this member in the order does not matter.
     auto const hashOf = [](Member const& member) {
         return Core::combineHashes(
@@ -317,9 +340,18 @@
         if (record.entry.member.state != MemberState::Left)
             hash += hashOf(record.entry.member);
     }
+    m_viewHash = hash;
     return hash;
 }
 
+void MemberTable::noteChange(Record* record, Instant now)
+{
+    if (record)
+        record->changedAt = now;
+    m_viewHash.reset();
+    m_isDue = true;
+}
+
 Heartbeat MemberTable::makeHeartbeat(bool isFull, Instant now) const
 {
     Heartbeat heartbeat;
--- a/Libraries/LibMembership/MemberTable.h
+++ b/Libraries/LibMembership/MemberTable.h
@@ -28,7 +28,8 @@
     Member const& self() const { return m_self.member; }
 
     /// Call every 100 ms; heartbeats are due every `heartbeatInterval`, and at once after a change of the settings
-    /// revision or of the own state. A longer gap than `pauseGap` between calls counts as a pause of this daemon.
+    /// revision, of the own state or of another member. A longer gap than `pauseGap` between calls counts as a pause of
+    /// this daemon.
     std::vector<OutgoingHeartbeat> tick(Core::Instant now);
 
     /// Merges a heartbeat. Returns the answers that it needs, which is none in steady state.
@@ -62,10 +63,15 @@
 
     bool isSilent(Record const&, Core::Instant now) const;
     bool isSelf(Member const&) const;
-    bool adopt(MemberEntry const&, Core::Instant now);
+    void adopt(MemberEntry const&, Core::Instant now);
+    static bool isAtSameEndpoint(Member const&, Member const&);
+    /// Whether a newer daemon under another name runs at the member's endpoint.
+    bool isReplaced(Member const&) const;
+    void replaceFormer(Member const&, Core::Instant now);
     void noteBeat(Record&, uint64_t beat, Core::Instant now);
     void mergeBeats(Heartbeat const&, Core::Instant now);
     void forgetSilent(Core::Instant now);
+    void noteChange(Record*, Core::Instant now);
     void noteReach(Core::Instant now);
     size_t heardCount(Core::Instant now) const;
     uint64_t viewHash() const;
@@ -74,7 +80,8 @@
 
     MemberEntry m_self;
     MembershipOptions m_options;
-    Records m_records; ///< Without self.
+    Records m_records;                          ///< Without self.
+    mutable std::optional<uint64_t> m_viewHash; ///< Kept until a member changes: it is needed for each heartbeat.
     uint64_t m_settingsRevision { 0 };
     uint64_t m_resumedBeat { 0 }; ///< A reply that knows this beat of ours was made after the latest pause.
     size_t m_probe { 0 };
--- a/Libraries/LibMembership/MembershipOptions.h
+++ b/Libraries/LibMembership/MembershipOptions.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <LibCore/Time.h>
+#include <LibMembership/Overlay.h>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -14,7 +16,9 @@
     Core::Duration isolatedAfter { std::chrono::seconds(3) };
     Core::Duration forgetAfter { std::chrono::seconds(60) }; ///< The majority stops counting a silent member.
     Core::Duration tombstoneFor { std::chrono::hours(1) };   ///< A member that left cannot come back by old messages.
-    std::vector<std::string> seeds;                          ///< "address:port" of the message ports to join through.
+    /// Ring positions to send to, of a member at `self` among `count` in name order.
+    std::function<std::vector<size_t>(size_t self, size_t count)> neighbours { overlayPeers };
+    std::vector<std::string> seeds; ///< "address:port" of the message ports to join through.
 };
 
 }
--- /dev/null
+++ b/Tests/LibMembership/TestMemberTable.cpp
@@ -0,0 +1,255 @@
+#include <LibMembership/Membership.h>
+#include <Shared/MemberCluster.h>
+#include <catch2/catch.hpp>
+
+using namespace Comfreysail;
+using namespace Comfreysail::Membership;
+using Comfreysail::Benchmarks::MemberCluster;
+using namespace std::chrono_literals;
+
+namespace {
+
+MemberCluster settledCluster(size_t size = 14)
+{
+    MemberCluster cluster({ .size = size });
+    cluster.run(5s);
+    return cluster;
+}
+
+void stop(MemberCluster& cluster, size_t first, size_t end)
+{
+    for (auto index = first; index < end; ++index)
+        cluster.node(index).isDown = true;
+}
+
+}
+
+// A daemon that misses a member computes another home for the same group, and two homes overload a cold target.
+TEST_CASE("MemberTable_MessageFaults_ViewsStillAgree")
+{
+    struct Fault {
+        std::string name;
+        std::function<std::vector<Core::Duration>(std::mt19937_64&)> route;
+    };
+    std::vector<Fault> const faults {
+        { "none", [](auto&) { return std::vector<Core::Duration> { 1ms }; } },
+        { "one in five lost",
+            [](auto& random) {
+                return random() % 5 == 0 ? std::vector<Core::Duration> {} : std::vector<Core::Duration> { 1ms };
+            } },
+        { "reordered within half a second",
+            [](auto& random) { return std::vector<Core::Duration> { Core::Duration(random() % 500'000) }; } },
+        { "duplicated, one copy a second late",
+            [](auto&) {
+                return std::vector<Core::Duration> { 1ms, 1s };
+            } },
+    };
+    for (auto const& fault : faults) {
+        CAPTURE(fault.name);
+        MemberCluster cluster({ .size = 14 });
+        cluster.route = [&](size_t, size_t) { return fault.route(cluster.random()); };
+        cluster.run(8s);
+        for (int second = 0; second < 10; ++second) {
+            cluster.run(1s);
+            CHECK(cluster.agreeing() == cluster.size());
+        }
+    }
+}
+
+// A home that is gone but still listed delays requests; one that is listed as gone but lives splits the counts.
+TEST_CASE("MemberTable_MemberCrashes_AllSuspectItSoonAndOnlyIt")
+{
+    auto cluster = settledCluster();
+    stop(cluster, 3, 4);
+    cluster.run(3500ms);
+    CHECK(cluster.agreeing() == 13);
+}
+
+// Stopped connections between two daemons must not make one look dead to the other while the rest can hear both.
+TEST_CASE("MemberTable_SilentConnectionBetweenTwoPeers_SuspectsNobody")
+{
+    auto cluster = settledCluster();
+    cluster.route = [](size_t from, size_t to) {
+        auto const isSilent = (from == 2 && to == 3) || (from == 3 && to == 2);
+        return isSilent ? std::vector<Core::Duration> {} : std::vector<Core::Duration> { 1ms };
+    };
+    cluster.run(10s);
+    CHECK(cluster.agreeing() == cluster.size());
+}
+
+// The other daemons must see a restarted daemon as a new instance at once: its in-flight counts are gone.
+TEST_CASE("MemberTable_RestartAtTheSameAddress_IsANewInstance")
+{
+    auto cluster = settledCluster();
+    auto const former = cluster.node(5).member.incarnation;
+    cluster.restart(5);
+    cluster.run(2s);
+    CHECK(cluster.node(5).member.incarnation > former);
+    for (size_t index = 0; index < cluster.size(); ++index)
+        CHECK(cluster.sees(index, 5));
+    CHECK(cluster.table(0).knownCount() == 14);
+}
+
+// A replacement under another name at the same address must not leave its predecessor counted as a silent member.
+TEST_CASE("MemberTable_OtherNameAtTheSameAddress_ReplacesTheFormerMember")
+{
+    auto cluster = settledCluster();
+    stop(cluster, 4, 5);
+    cluster.add("replacement", cluster.node(4).member.address, "arima");
+    cluster.run(3s);
+    CHECK(cluster.table(0).knownCount() == 14);
+    CHECK(cluster.table(0).live(cluster.now()).size() == 14);
+}
+
+// Messages of a former run that arrive late must not bring it back.
+TEST_CASE("MemberTable_LateHeartbeatOfAFormerRun_IsIgnored")
+{
+    auto now = Core::Instant(1h);
+    MemberTable table({ "vm-0", 1, "arima", "10.0.0.1", 80, 90 }, {}, now);
+    Heartbeat former;
+    former.sender = { { "vm-1", 5, "arima", "10.0.0.2", 80, 90 }, 1000 };
+    auto current = former;
+    current.sender = { { "vm-1", 6, "arima", "10.0.0.2", 80, 90 }, 1 };
+    (void)table.merge(current, now);
+    (void)table.merge(former, now);
+    auto const live = table.live(now);
+    REQUIRE(live.size() == 2);
+    CHECK(live[1].incarnation == 6);
+}
+
+// A member that said goodbye must not be suspected for two seconds first, nor return by messages still under way.
+TEST_CASE("MemberTable_DrainAndLeave_TakeEffectAtOnceAndForGood")
+{
+    auto cluster = settledCluster();
+    auto const state = GENERATE(MemberState::Draining, MemberState::Left);
+    cluster.table(6).setState(state);
+    cluster.run(150ms);
+    cluster.node(6).isDown = state == MemberState::Left;
+    cluster.run(400ms);
+    for (size_t index = 0; index < cluster.size(); ++index) {
+        if (index != 6)
+            CHECK_FALSE(cluster.sees(index, 6));
+    }
+    cluster.run(10s);
+    CHECK_FALSE(cluster.sees(0, 6));
+}
+
+// Work that a paused daemon starts on waking rests on a view and settings from before the pause.
+TEST_CASE("MemberTable_PausedAndWoken_RefusesWorkUntilAPeerKnowsItAgain")
+{
+    auto cluster = settledCluster();
+    auto& node = cluster.node(7);
+    node.isPaused = true;
+    cluster.run(5s);
+    CHECK(cluster.table(7).workPermit(cluster.now()) == WorkPermit::Resumed);
+    node.isPaused = false;
+    // The messages that waited are merged first; they are older than the waking and must not count as contact.
+    cluster.route = [](size_t, size_t to) {
+        return to == 7 ? std::vector<Core::Duration> {} : std::vector<Core::Duration> { 1ms };
+    };
+    cluster.run(400ms);
+    CHECK(cluster.table(7).workPermit(cluster.now()) == WorkPermit::Resumed);
+    cluster.route = [](size_t, size_t) { return std::vector<Core::Duration> { 1ms }; };
+    cluster.run(3s);
+    CHECK(cluster.table(7).workPermit(cluster.now()) == WorkPermit::Allowed);
+}
+
+// The store alone is contact enough, but an answer to a read from before the pause is not.
+TEST_CASE("MemberTable_PausedAndWoken_OnlyAReadAfterThePauseCounts")
+{
+    auto const start = Core::Instant(1h);
+    MemberTable table({ "vm-0", 1, "arima", "10.0.0.1", 80, 90 }, {}, start);
+    (void)table.tick(start);
+    (void)table.tick(start + 4s);
+    table.noteStoreAnswered(start + 100ms, start + 4s);
+    CHECK(table.workPermit(start + 4s) == WorkPermit::Resumed);
+    table.noteStoreAnswered(start + 4s, start + 4100ms);
+    CHECK(table.workPermit(start + 4100ms) == WorkPermit::Allowed);
+}
+
+// A daemon that hears nobody cannot learn that an availability zone was taken out of service.
+TEST_CASE("MemberTable_CutOffFromAll_IsIsolatedUnlessTheStoreAnswers")
+{
+    auto cluster = settledCluster();
+    cluster.route = [](size_t from, size_t to) {
+        return from == 0 || to == 0 ? std::vector<Core::Duration> {} : std::vector<Core::Duration> { 1ms };
+    };
+    cluster.run(6s);
+    CHECK(cluster.table(0).workPermit(cluster.now()) == WorkPermit::Isolated);
+    CHECK(cluster.table(1).workPermit(cluster.now()) == WorkPermit::Allowed);
+    cluster.table(0).noteStoreAnswered(cluster.now(), cluster.now());
+    CHECK(cluster.table(0).workPermit(cluster.now()) == WorkPermit::Allowed);
+}
+
+// Of two halves without the store at most one may go on, or an out zone could receive work; both recover by themselves.
+TEST_CASE("MemberTable_SplitBetweenZones_OnlyTheMajorityWorksAndHealingRejoins")
+{
+    auto const outage = GENERATE(Core::Duration(10s), Core::Duration(100s));
+    auto cluster = settledCluster();
+    constexpr size_t minority = 5;
+    auto const normal = cluster.route;
+    cluster.route = [](size_t from, size_t to) {
+        auto const isCut = (from < minority) != (to < minority);
+        return isCut ? std::vector<Core::Duration> {} : std::vector<Core::Duration> { 1ms };
+    };
+    cluster.run(outage);
+    for (size_t index = 0; index < cluster.size(); ++index)
+        CHECK(cluster.table(index).isIsolated(cluster.now()) == (index < minority));
+    cluster.route = [](size_t, size_t) { return std::vector<Core::Duration> { 1ms }; };
+    cluster.run(15s);
+    CHECK(cluster.agreeing() == cluster.size());
+    CHECK_FALSE(cluster.table(0).isIsolated(cluster.now()));
+}
+
+// Settings live only in the daemons while the store is down: the last old daemon must hand them to all new ones.
+TEST_CASE("MemberTable_AllReplacedButOne_SettingsReachTheNewOnesAndNobodyIsIsolated")
+{
+    auto cluster = settledCluster();
+    cluster.adopt(0, 7);
+    cluster.run(2s);
+    for (size_t index = 1; index < 14; ++index) {
+        cluster.node(index).isDown = true;
+        cluster.add("new-" + std::to_string(100 + index), "10.0.1." + std::to_string(index), "arima", 0);
+        cluster.run(2s);
+    }
+    cluster.run(5s);
+    CHECK(cluster.agreeing() == 14);
+    for (size_t index = 14; index < cluster.size(); ++index) {
+        CHECK(cluster.node(index).settingsRevision == 7);
+        CHECK_FALSE(cluster.table(index).isIsolated(cluster.now()));
+    }
+    CHECK_FALSE(cluster.table(0).isIsolated(cluster.now()));
+}
+
+// The list lags: it must not remove a member that is heard, nor keep one that is silent, nor mark a new instance.
+TEST_CASE("MemberTable_StaleVmList_OnlyLeavingMarksCount")
+{
+    auto cluster = settledCluster();
+    auto& table = cluster.table(0);
+    auto const& leaving = cluster.node(3).member;
+    table.noteVmList({ { leaving.name, leaving.address, true } }, cluster.now());
+    CHECK_FALSE(cluster.sees(0, 3));
+    CHECK(table.live(cluster.now()).size() == 13);
+
+    cluster.restart(3);
+    cluster.run(2s);
+    table.noteVmList({ { leaving.name, leaving.address, true } }, cluster.now());
+    CHECK(cluster.sees(0, 3));
+
+    stop(cluster, 4, 5);
+    cluster.run(4s);
+    table.noteVmList({ { cluster.node(4).member.name, cluster.node(4).member.address, false } }, cluster.now());
+    CHECK_FALSE(cluster.sees(0, 4));
+}
+
+// Settings never revert: a daemon that announces an older revision must not make the others announce it.
+TEST_CASE("MemberTable_OlderSettingsRevision_IsNotAnnounced")
+{
+    auto now = Core::Instant(1h);
+    MemberTable table({ "vm-0", 1, "arima", "10.0.0.1", 80, 90 }, { .seeds = { "10.0.0.9:90" } }, now);
+    table.setSettingsRevision(8);
+    table.setSettingsRevision(7);
+    auto const outgoing = table.tick(now);
+    REQUIRE(outgoing.size() == 1);
+    CHECK(outgoing[0].heartbeat.settingsRevision == 8);
+}
