--- /dev/null
+++ b/Libraries/LibPeers/Peers.h
@@ -0,0 +1,8 @@
+#pragma once
+
+/// Public header of LibPeers: messages between daemons over ZeroMQ.
+
+#include <LibPeers/ByteBudget.h>
+#include <LibPeers/Transport.h>
+#include <LibPeers/TransportCounters.h>
+#include <LibPeers/TransportOptions.h>
