--- a/Benchmarks/LoadGenerator/LoadCallers.cpp
+++ b/Benchmarks/LoadGenerator/LoadCallers.cpp
@@ -118,10 +118,24 @@
     --m_running;
 }
 
-asio::awaitable<Reply> LoadCallers::send(Call const& call, unsigned attempt)
+std::string const& LoadCallers::addressFor(Call const& call, unsigned attempt) const
 {
     auto const& addresses = m_options.targetDirect ? m_options.targets : m_options.daemons;
-    auto const& address = addresses[(call.number + attempt) % addresses.size()];
+    return addresses[(call.number + attempt) % addresses.size()];
+}
+
+void LoadCallers::showFault(Call const& call, unsigned attempt, CallEnd end) const
+{
+    if (end != CallEnd::Cut && end != CallEnd::Wrong && end != CallEnd::Unanswered)
+        return;
+    auto const name = end == CallEnd::Cut ? "cut" : end == CallEnd::Wrong ? "wrong" : "unanswered";
+    std::cout << "event=" << name << " at_ms=" << Core::toUnixMilliseconds(Core::wallNow())
+              << " address=" << addressFor(call, attempt) << " path=" << call.path
+              << " request=" << requestId(call, attempt) << std::endl;
+}
+
+asio::awaitable<Reply> LoadCallers::send(Call const& call, unsigned attempt)
+{
     Request request { call.kind == CallKind::Order ? http::verb::post : http::verb::get, call.path, 11 };
     request.set(http::field::host, call.kind == CallKind::Download ? m_options.downloadHost : m_options.host);
     request.set(Core::Header::department, call.department);
@@ -132,7 +146,7 @@
     request.body() = call.body;
     request.prepare_payload();
     ++report.sends;
-    co_return co_await m_http.call(address, std::move(request), m_options.timeout + answerMargin);
+    co_return co_await m_http.call(addressFor(call, attempt), std::move(request), m_options.timeout + answerMargin);
 }
 
 CallEnd LoadCallers::endOf(Call const& call, unsigned attempt, Reply const& reply)
@@ -169,8 +183,11 @@
 {
     for (unsigned attempt = 0;; ++attempt) {
         auto const reply = co_await send(call, attempt);
-        if (reply.state != Reply::State::NotConnected || attempt + 1 >= connectAttempts)
-            co_return endOf(call, attempt, reply);
+        if (reply.state == Reply::State::NotConnected && attempt + 1 < connectAttempts)
+            continue;
+        auto const end = endOf(call, attempt, reply);
+        showFault(call, attempt, end);
+        co_return end;
     }
 }
 
@@ -180,6 +197,7 @@
     for (unsigned attempt = 0; attempt < m_options.orderAttempts; ++attempt) {
         auto const reply = co_await send(call, attempt);
         end = endOf(call, attempt, reply);
+        showFault(call, attempt, end);
         bool const isNotRun = reply.state == Reply::State::NotConnected
             || (end == CallEnd::Refused && view(reply.fields[Core::Header::outcome]) == "not-run");
         bool const isDone = end == CallEnd::Answered;
--- a/Benchmarks/LoadGenerator/LoadCallers.h
+++ b/Benchmarks/LoadGenerator/LoadCallers.h
@@ -41,6 +41,9 @@
     std::string requestId(Call const&, unsigned attempt) const;
     std::string key(Call const&) const;
     CallEnd endOf(Call const&, unsigned attempt, Reply const&);
+    std::string const& addressFor(Call const&, unsigned attempt) const;
+    /// Prints a reply that must not occur, with the daemon that sent it.
+    void showFault(Call const&, unsigned attempt, CallEnd) const;
 
     boost::asio::io_context& m_context;
     LoadOptions const& m_options;
