--- a/Libraries/LibHTTP/Asio.h
+++ b/Libraries/LibHTTP/Asio.h
@@ -14,6 +14,9 @@
 using ErrorCode = boost::system::error_code;
 
 /// Completion token for coroutines: the error code is part of the result, nothing is thrown.
+///
+/// GCC 12 destroys the awaited object twice when co_await stands in a condition or behind co_return (seen as a crash in
+/// ServerExchange::respond()). So every co_await is a statement of its own, or initializes a variable.
 inline constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
 
 }
--- a/Libraries/LibHTTP/ClientConnection.cpp
+++ b/Libraries/LibHTTP/ClientConnection.cpp
@@ -84,10 +84,7 @@
     co_return Empty {};
 }
 
-awaitable<void> ClientConnection::sendBody(std::shared_ptr<std::string const> body)
-{
-    co_await write(*body);
-}
+awaitable<void> ClientConnection::sendBody(std::shared_ptr<std::string const> body) { co_await write(*body); }
 
 awaitable<Result<Empty>> ClientConnection::sendStreaming(RequestHead const& head, BodySource source)
 {
--- a/Libraries/LibHTTP/ConnectionPool.cpp
+++ b/Libraries/LibHTTP/ConnectionPool.cpp
@@ -21,8 +21,7 @@
     return std::make_shared<ClientConnection>(m_context.get_executor(), endpoint, m_options.limits);
 }
 
-std::shared_ptr<ClientConnection> ConnectionPool::take(
-    Endpoint const& endpoint, ReusePolicy policy, Core::Instant now)
+std::shared_ptr<ClientConnection> ConnectionPool::take(Endpoint const& endpoint, ReusePolicy policy, Core::Instant now)
 {
     if (policy == ReusePolicy::None)
         return nullptr;
@@ -83,8 +82,8 @@
             return now - idle->lastResponseAt().value_or(Core::Instant {}) > m_options.maxIdleTime || !idle->isQuiet();
         });
     }
-    std::erase_if(m_entries,
-        [](auto const& item) { return item.second.idle.empty() && !item.second.unresponsiveOpenedAt; });
+    std::erase_if(
+        m_entries, [](auto const& item) { return item.second.idle.empty() && !item.second.unresponsiveOpenedAt; });
 }
 
 void ConnectionPool::closeAll()
--- a/Libraries/LibHTTP/Server.cpp
+++ b/Libraries/LibHTTP/Server.cpp
@@ -44,7 +44,9 @@
     {
         ErrorCode ignored;
         m_stream.socket.set_option(tcp::no_delay(true), ignored);
-        while (co_await serveOne()) { }
+        bool mayContinue = true;
+        while (mayContinue)
+            mayContinue = co_await serveOne();
         m_watchdogs.read->disarm();
         m_stream.close();
     }
@@ -83,8 +85,7 @@
             co_await refuse(errorOf(head));
             co_return false;
         }
-        ServerExchange exchange(
-            m_stream, reader, takeValue(std::move(head)), m_watchdogs, options, m_strand);
+        ServerExchange exchange(m_stream, reader, takeValue(std::move(head)), m_watchdogs, options, m_strand);
         if (m_server->m_closesAfterResponses)
             exchange.closeAfterResponse();
         co_await m_server->m_handler(exchange);
@@ -93,10 +94,12 @@
             exchange.abort();
             co_return false;
         }
-        if (exchange.mayKeepAlive() && co_await discardBody(exchange))
-            co_return true;
-        co_await closeGently();
-        co_return false;
+        bool mayContinue = exchange.mayKeepAlive();
+        if (mayContinue)
+            mayContinue = co_await discardBody(exchange);
+        if (!mayContinue)
+            co_await closeGently();
+        co_return mayContinue;
     }
 
     awaitable<bool> discardBody(ServerExchange& exchange)
--- a/Libraries/LibHTTP/ServerExchange.cpp
+++ b/Libraries/LibHTTP/ServerExchange.cpp
@@ -35,17 +35,24 @@
 {
     if (m_mustSendContinue && !m_isStarted) {
         m_mustSendContinue = false;
-        if (m_stream.received.isEmpty() && !co_await write("HTTP/1.1 100 Continue\r\n\r\n"))
+        bool isSent = true;
+        if (m_stream.received.isEmpty())
+            isSent = co_await write("HTTP/1.1 100 Continue\r\n\r\n");
+        if (!isSent)
             co_return Core::Error { Core::ErrorKind::CallerGone, "the caller closed before its body" };
     }
     m_watchdogs.read->arm(Core::monotonicNow() + m_options.stallTimeout, [&stream = m_stream] { stream.reset(); });
+    m_isReading = true;
     auto result = co_await m_reader.readBody(into);
+    m_isReading = false;
     m_watchdogs.read->disarm();
     co_return result;
 }
 
-void ServerExchange::cancelRead()
+void ServerExchange::cancelReadIfReading()
 {
+    if (!m_isReading)
+        return;
     m_keepAlive = false;
     ErrorCode ignored;
     m_stream.socket.cancel(ignored);
@@ -92,13 +99,16 @@
         co_return !m_isAborted;
     auto const head = std::move(m_unsentHead);
     m_unsentHead.clear();
-    co_return co_await write(head);
+    bool const isSent = co_await write(head);
+    co_return isSent;
 }
 
 awaitable<bool> ServerExchange::sendBody(std::string_view data)
 {
-    if (!sendsBody() || data.empty())
-        co_return co_await flush();
+    if (!sendsBody() || data.empty()) {
+        bool const isFlushed = co_await flush();
+        co_return isFlushed;
+    }
     if (m_bodyBytesLeft) {
         if (data.size() > *m_bodyBytesLeft)
             co_return false;
@@ -106,10 +116,10 @@
     }
     auto prefix = std::move(m_unsentHead);
     m_unsentHead.clear();
-    if (!m_isChunked)
-        co_return co_await write(prefix, data);
-    prefix.append(chunkPrefix(data.size()));
-    co_return co_await write(prefix, data, chunkSuffix);
+    if (m_isChunked)
+        prefix.append(chunkPrefix(data.size()));
+    bool const isSent = co_await write(prefix, data, m_isChunked ? chunkSuffix : std::string_view());
+    co_return isSent;
 }
 
 awaitable<bool> ServerExchange::finish()
@@ -122,7 +132,10 @@
     m_unsentHead.clear();
     if (m_isChunked && sendsBody())
         tail.append(lastChunk);
-    if (!tail.empty() && !co_await write(tail))
+    bool isSent = true;
+    if (!tail.empty())
+        isSent = co_await write(tail);
+    if (!isSent)
         co_return false;
     m_isFinished = !m_isAborted;
     co_return m_isFinished;
@@ -132,9 +145,11 @@
 {
     head.contentLength = body.size();
     startResponse(std::move(head));
-    if (!co_await sendBody(body))
+    bool const isSent = co_await sendBody(body);
+    if (!isSent)
         co_return false;
-    co_return co_await finish();
+    bool const isFinished = co_await finish();
+    co_return isFinished;
 }
 
 void ServerExchange::abort()
--- a/Libraries/LibHTTP/ServerExchange.h
+++ b/Libraries/LibHTTP/ServerExchange.h
@@ -35,8 +35,9 @@
     /// The next piece of the request body, 0 at its end. The first call sends "100 Continue" when the caller waits for
     /// it. Errors: MalformedRequest, CallerGone.
     awaitable<Core::Result<size_t>> readBody(std::span<char> into);
-    /// Ends a readBody() in progress with CallerGone. The rest of the body is lost, so the connection closes later.
-    void cancelRead();
+    /// Ends a readBody() in progress, if any, with CallerGone. The rest of the body is lost, so the connection closes
+    /// after the response. No send may be in progress.
+    void cancelReadIfReading();
     bool isBodyFinished() const { return !m_head.hasBody() || m_reader.isFinished(); }
 
     /// Starts the response. The head is kept until flush(), sendBody() or finish(), so that a short response is one
@@ -81,6 +82,7 @@
     std::shared_ptr<Watch> m_watch;
     std::string m_unsentHead;
     std::optional<uint64_t> m_bodyBytesLeft;
+    bool m_isReading { false };
     bool m_isChunked { false };
     bool m_statusForbidsBody { false };
     bool m_keepAlive;
--- /dev/null
+++ b/Services/comfreysaild/Daemon.cpp
@@ -0,0 +1,172 @@
+#include "Daemon.h"
+
+#include "CommandLine.h"
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/strand.hpp>
+#include <csignal>
+#include <thread>
+
+namespace Comfreysail::Daemon {
+
+namespace asio = boost::asio;
+using Core::Empty;
+using Core::Result;
+using HTTP::awaitable;
+
+namespace {
+
+// How often limits that rise with time (cold targets) and queue deadlines are looked at.
+constexpr auto tickInterval = std::chrono::milliseconds(20);
+constexpr auto shutdownPollInterval = std::chrono::milliseconds(20);
+// A request that is being received when the last running one ends still gets its refusal.
+constexpr auto lastRequestsGrace = std::chrono::milliseconds(100);
+constexpr unsigned ticksBetweenPoolSweeps = 100;
+
+HTTP::PoolOptions poolOptions(DaemonSettings const& settings)
+{
+    HTTP::PoolOptions options;
+    options.maxIdlePerEndpoint = settings.limits.maxIdlePerTarget;
+    options.limits.maxHeaderBytes = settings.limits.maxHeaderBytes;
+    return options;
+}
+
+}
+
+Daemon::Daemon(DaemonSettings settings)
+    : m_settings(std::move(settings))
+    , m_context(static_cast<int>(m_settings.workerThreads))
+    , m_coordination(m_settings)
+    , m_routing(m_coordination, m_settings)
+    , m_pool(m_context, poolOptions(m_settings))
+    , m_upstream(m_pool, m_settings.limits)
+    , m_services { m_settings, m_coordination, m_routing, m_upstream, m_retries, m_crashes, m_metrics }
+    , m_handler(m_services)
+    , m_admin(m_services, [this] { return isReady(); })
+    , m_signals(m_context, SIGTERM, SIGINT)
+{
+}
+
+Daemon::~Daemon() = default;
+
+HTTP::ServerOptions Daemon::serverOptions(ListenAddress const& address) const
+{
+    HTTP::ServerOptions options;
+    options.address = address.address;
+    options.port = address.port;
+    options.maxConnections = m_settings.limits.maxConnections;
+    options.limits.maxHeaderBytes = m_settings.limits.maxHeaderBytes;
+    options.headerTimeout = m_settings.limits.headerTimeout;
+    options.idleTimeout = m_settings.limits.idleTimeout;
+    options.stallTimeout = m_settings.limits.stallTimeout;
+    return options;
+}
+
+Result<Empty> Daemon::start()
+{
+    if (auto started = m_coordination.start(); isError(started))
+        return started;
+    m_routing.refresh(Core::monotonicNow());
+    auto const handlerFor = [this](Origin origin) {
+        return [this, origin](HTTP::ServerExchange& exchange) { return m_handler.handle(exchange, origin); };
+    };
+    m_callerServer = HTTP::Server::create(m_context, serverOptions(m_settings.caller), handlerFor(Origin::Caller));
+    m_peerServer = HTTP::Server::create(m_context, serverOptions(m_settings.peer), handlerFor(Origin::Peer));
+    m_adminServer = HTTP::Server::create(m_context, serverOptions(m_settings.admin),
+        [this](HTTP::ServerExchange& exchange) { return m_admin.handle(exchange); });
+    for (auto const& server : { m_adminServer, m_peerServer, m_callerServer }) {
+        if (auto started = server->start(); isError(started))
+            return started;
+    }
+    return Empty {};
+}
+
+int Daemon::run()
+{
+    if (auto const started = start(); isError(started)) {
+        Telemetry::EventLine("start_failed").add("reason", errorOf(started).detail).logError();
+        return errorOf(started).kind == Core::ErrorKind::InvalidSettings ? exitUsage : exitRuntimeFailure;
+    }
+    logStarted();
+    asio::co_spawn(
+        asio::make_strand(m_context), [this] { return tickLoop(); }, asio::detached);
+    asio::co_spawn(
+        asio::make_strand(m_context), [this] { return waitForSignals(); }, asio::detached);
+    std::vector<std::jthread> threads;
+    for (unsigned thread = 1; thread < m_settings.workerThreads; ++thread)
+        threads.emplace_back([this] { m_context.run(); });
+    m_context.run();
+    return exitSuccess;
+}
+
+void Daemon::logStarted() const
+{
+    Telemetry::EventLine("started")
+        .add("vm_name", m_settings.vmName)
+        .add("availability_zone", m_settings.availabilityZone)
+        .add("caller_port", m_callerServer->port())
+        .add("peer_port", m_peerServer->port())
+        .add("admin_port", m_adminServer->port())
+        .logInfo();
+}
+
+bool Daemon::isReady() const { return !m_isShuttingDown && !m_coordination.refusal(); }
+
+awaitable<void> Daemon::pause(Core::Duration duration)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor, duration);
+    co_await timer.async_wait(HTTP::useTuple);
+}
+
+awaitable<void> Daemon::tickLoop()
+{
+    for (unsigned tick = 0;; ++tick) {
+        co_await pause(tickInterval);
+        auto const now = Core::monotonicNow();
+        m_routing.refresh(now);
+        m_routing.tick(now);
+        if (tick % ticksBetweenPoolSweeps == 0)
+            m_pool.closeExpired(now);
+    }
+}
+
+awaitable<void> Daemon::waitForSignals()
+{
+    auto const [error, signal] = co_await m_signals.async_wait(HTTP::useTuple);
+    if (error)
+        co_return;
+    Telemetry::EventLine("shutdown_started").add("signal", signal).logInfo();
+    asio::co_spawn(
+        co_await asio::this_coro::executor, [this] { return shutDown(); }, asio::detached);
+    while (true) {
+        auto const [nextError, next] = co_await m_signals.async_wait(HTTP::useTuple);
+        if (nextError)
+            co_return;
+        Telemetry::EventLine("shutdown_continues")
+            .add("signal", next)
+            .add("active_requests", m_services.activeRequests.load())
+            .logInfo();
+    }
+}
+
+awaitable<void> Daemon::shutDown()
+{
+    m_isShuttingDown = true;
+    co_await pause(m_settings.balancerLag);
+    m_callerServer->closeAfterResponses();
+    m_peerServer->closeAfterResponses();
+    m_services.refusesNewWork = true;
+    while (m_services.activeRequests > 0)
+        co_await pause(shutdownPollInterval);
+    m_callerServer->stopAccepting();
+    m_peerServer->stopAccepting();
+    m_callerServer->closeIdleConnections();
+    m_peerServer->closeIdleConnections();
+    co_await pause(lastRequestsGrace);
+    while (m_services.activeRequests > 0)
+        co_await pause(shutdownPollInterval);
+    Telemetry::EventLine("shutdown_finished").logInfo();
+    m_context.stop();
+}
+
+}
--- /dev/null
+++ b/Services/comfreysaild/Daemon.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "AdminServer.h"
+#include "DaemonServices.h"
+#include "RequestHandler.h"
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace Comfreysail::Daemon {
+
+/// Owns all parts of the daemon and its life from start to graceful shutdown.
+class Daemon {
+public:
+    explicit Daemon(DaemonSettings);
+    ~Daemon();
+    Daemon(Daemon const&) = delete;
+    Daemon& operator=(Daemon const&) = delete;
+
+    /// Starts the listeners, serves until a signal ends it, and returns the exit code.
+    int run();
+
+private:
+    Core::Result<Core::Empty> start();
+    HTTP::ServerOptions serverOptions(ListenAddress const&) const;
+    HTTP::awaitable<void> tickLoop();
+    HTTP::awaitable<void> waitForSignals();
+    HTTP::awaitable<void> shutDown();
+    HTTP::awaitable<void> pause(Core::Duration);
+    bool isReady() const;
+    void logStarted() const;
+
+    DaemonSettings m_settings;
+    boost::asio::io_context m_context;
+    Coordination m_coordination;
+    RoutingTableOwner m_routing;
+    HTTP::ConnectionPool m_pool;
+    UpstreamClient m_upstream;
+    RetryTable m_retries;
+    CrashTracker m_crashes;
+    Telemetry::MetricRegistry m_metrics;
+    DaemonServices m_services;
+    RequestHandler m_handler;
+    AdminHandler m_admin;
+    std::shared_ptr<HTTP::Server> m_callerServer;
+    std::shared_ptr<HTTP::Server> m_peerServer;
+    std::shared_ptr<HTTP::Server> m_adminServer;
+    boost::asio::signal_set m_signals;
+    std::atomic<bool> m_isShuttingDown { false };
+};
+
+}
--- /dev/null
+++ b/Services/comfreysaild/DaemonServices.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "Coordination.h"
+#include "CrashTracker.h"
+#include "DaemonSettings.h"
+#include "RetryTable.h"
+#include "RoutingTable.h"
+#include "UpstreamClient.h"
+#include <LibTelemetry/Telemetry.h>
+#include <atomic>
+
+namespace Comfreysail::Daemon {
+
+/// What the request path uses. Owned by Daemon; every member is thread safe.
+struct DaemonServices {
+    DaemonSettings const& settings;
+    Coordination& coordination;
+    RoutingTableOwner& routing;
+    UpstreamClient& upstream;
+    RetryTable& retries;
+    CrashTracker& crashes;
+    Telemetry::MetricRegistry& metrics;
+    std::atomic<bool> refusesNewWork { false };
+    std::atomic<unsigned> activeRequests { 0 };
+};
+
+}
--- /dev/null
+++ b/Services/comfreysaild/DaemonSettings.cpp
@@ -0,0 +1,132 @@
+#include "DaemonSettings.h"
+
+#include <LibSettings/Settings.h>
+#include <filesystem>
+#include <set>
+
+namespace Comfreysail::Daemon {
+
+namespace {
+
+using Settings::CheckedTable;
+using Settings::IntegerRange;
+using Settings::Presence;
+
+constexpr int64_t minute = 60'000;
+constexpr int64_t hour = 60 * minute;
+
+bool isAnyText(std::string_view text) { return !text.empty(); }
+
+Settings::TextRule const pathRule { isAnyText, "a path" };
+
+// Port 0 lets the system choose; the daemon logs the port that it got.
+ListenAddress readAddressOf(CheckedTable& table, int64_t minimumPort)
+{
+    ListenAddress address;
+    address.address = table.text("address", Settings::ipAddressRule, Presence::Required).value_or("");
+    address.port = static_cast<uint16_t>(
+        table.integer("port", IntegerRange { minimumPort, 65'535, "" }, Presence::Required).value_or(0));
+    return address;
+}
+
+ListenAddress readAddress(CheckedTable& root, std::string_view key, int64_t minimumPort = 0)
+{
+    auto table = root.table(key, Presence::Required);
+    if (!table)
+        return {};
+    auto address = readAddressOf(*table, minimumPort);
+    table->refuseOtherKeys();
+    return address;
+}
+
+Core::Duration readMilliseconds(CheckedTable& table, std::string_view key, int64_t maximum, Core::Duration fallback)
+{
+    auto const fallbackMilliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(fallback).count();
+    return std::chrono::milliseconds(table.integerOr(key, IntegerRange { 1, maximum, "ms" }, fallbackMilliseconds));
+}
+
+size_t readCount(CheckedTable& table, std::string_view key, IntegerRange const& range, size_t fallback)
+{
+    return static_cast<size_t>(table.integerOr(key, range, static_cast<int64_t>(fallback)));
+}
+
+DaemonLimits readLimits(CheckedTable& root)
+{
+    DaemonLimits limits;
+    auto table = root.table("limits");
+    if (!table)
+        return limits;
+    limits.maxConnections
+        = readCount(*table, "max_connections", { 1, 1'000'000, "connections" }, limits.maxConnections);
+    limits.maxHeaderBytes
+        = readCount(*table, "max_header_bytes", { 1024, 1024 * 1024, "bytes" }, limits.maxHeaderBytes);
+    limits.headerTimeout = readMilliseconds(*table, "header_timeout_ms", 10 * minute, limits.headerTimeout);
+    limits.idleTimeout = readMilliseconds(*table, "idle_timeout_ms", hour, limits.idleTimeout);
+    limits.stallTimeout = readMilliseconds(*table, "stall_timeout_ms", hour, limits.stallTimeout);
+    limits.connectTimeout = readMilliseconds(*table, "connect_timeout_ms", minute, limits.connectTimeout);
+    limits.maxIdlePerTarget
+        = readCount(*table, "max_idle_per_target", { 0, 10'000, "connections" }, limits.maxIdlePerTarget);
+    table->refuseOtherKeys();
+    return limits;
+}
+
+void checkDistinctAddresses(CheckedTable& root, DaemonSettings const& settings)
+{
+    std::set<std::pair<std::string, uint16_t>> used;
+    auto const check = [&](std::string_view key, ListenAddress const& address) {
+        if (address.port != 0 && !used.emplace(address.address, address.port).second)
+            root.addFault(key, "must not have the address and port of another listener");
+    };
+    check("caller", settings.caller);
+    check("peer", settings.peer);
+    check("admin", settings.admin);
+    check("control", settings.control);
+}
+
+}
+
+std::variant<DaemonSettings, Settings::SettingsFaults> readDaemonSettings(std::string const& path)
+{
+    auto const document = Settings::CheckedDocument::fromFile(path);
+    if (!document.isParsed())
+        return document.faults();
+    DaemonSettings settings;
+    auto root = document.root();
+    settings.vmName = root.text("vm_name", Settings::nameRule, Presence::Required).value_or("");
+    settings.availabilityZone = root.text("availability_zone", Settings::nameRule, Presence::Required).value_or("");
+    settings.workerThreads = static_cast<unsigned>(
+        root.integerOr("worker_threads", IntegerRange { 1, 256, "threads" }, settings.workerThreads));
+    settings.balancerLag = std::chrono::milliseconds(
+        root.integerOr("balancer_lag_ms", IntegerRange { 0, 10 * minute, "ms" }, settings.balancerLag.count() / 1000));
+    settings.settingsFile = root.text("settings_file", pathRule);
+    if (settings.settingsFile)
+        settings.settingsFile = (std::filesystem::path(path).parent_path() / *settings.settingsFile).string();
+    settings.caller = readAddress(root, "caller");
+    settings.peer = readAddress(root, "peer");
+    settings.admin = readAddress(root, "admin");
+    if (auto control = root.table("control", Presence::Required)) {
+        settings.control = readAddressOf(*control, 0);
+        settings.seeds = control->texts("seeds", Settings::hostPortRule);
+        control->refuseOtherKeys();
+    }
+    auto const platformPresence = settings.settingsFile ? Presence::Optional : Presence::Required;
+    if (auto platform = root.table("platform", platformPresence)) {
+        settings.platform = readAddressOf(*platform, 1);
+        platform->refuseOtherKeys();
+    }
+    settings.limits = readLimits(root);
+    if (auto measurement = root.table("measurement")) {
+        settings.measurementBytesPerSecond = readCount(*measurement, "budget_bytes_per_second",
+            { 1'000, 1'000'000'000, "bytes/s" }, settings.measurementBytesPerSecond);
+        settings.measurementCpuPermille = static_cast<unsigned>(
+            readCount(*measurement, "budget_cpu_permille", { 1, 1'000, "permille" }, settings.measurementCpuPermille));
+        measurement->refuseOtherKeys();
+    }
+    checkDistinctAddresses(root, settings);
+    root.refuseOtherKeys();
+    if (auto faults = document.faults(); !faults.empty())
+        return faults;
+    return settings;
+}
+
+}
--- /dev/null
+++ b/Services/comfreysaild/DaemonSettings.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <LibCore/Time.h>
+#include <LibSettings/SettingsFault.h>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace Comfreysail::Daemon {
+
+/// An IP address and a port of this VM or of the platform.
+struct ListenAddress {
+    std::string address;
+    uint16_t port { 0 };
+
+    bool operator==(ListenAddress const&) const = default;
+};
+
+struct DaemonLimits {
+    size_t maxConnections { 10'000 };
+    size_t maxHeaderBytes { 16 * 1024 };
+    Core::Duration headerTimeout { std::chrono::seconds(10) };
+    Core::Duration idleTimeout { std::chrono::seconds(75) };
+    Core::Duration stallTimeout { std::chrono::seconds(30) };
+    Core::Duration connectTimeout { std::chrono::milliseconds(500) };
+    size_t maxIdlePerTarget { 32 };
+
+    bool operator==(DaemonLimits const&) const = default;
+};
+
+/// The settings file of one daemon; Services/comfreysaild/example.toml describes the keys.
+struct DaemonSettings {
+    std::string vmName;
+    std::string availabilityZone;
+    unsigned workerThreads { 4 };
+    Core::Duration balancerLag { std::chrono::seconds(2) };
+    std::optional<std::string> settingsFile; ///< Absolute, or relative to the working directory.
+    ListenAddress caller;
+    ListenAddress peer;
+    ListenAddress admin;
+    ListenAddress control;
+    std::vector<std::string> seeds; ///< "address:port" of the control ports of other daemons.
+    std::optional<ListenAddress> platform;
+    DaemonLimits limits;
+    uint64_t measurementBytesPerSecond { 29'000 };
+    unsigned measurementCpuPermille { 19 };
+
+    bool operator==(DaemonSettings const&) const = default;
+};
+
+/// Reads and checks the file. All faults are returned at once.
+std::variant<DaemonSettings, Settings::SettingsFaults> readDaemonSettings(std::string const& path);
+
+}
--- /dev/null
+++ b/Services/comfreysaild/GroupChoice.cpp
@@ -0,0 +1,104 @@
+#include "GroupChoice.h"
+
+#include <algorithm>
+
+namespace Comfreysail::Daemon {
+
+using Core::Error;
+using Core::ErrorKind;
+using Core::Result;
+
+namespace {
+
+constexpr double drawRange = 4294967296.0;
+
+ZoneRoute const* zoneNamed(std::vector<ZoneRoute> const& zones, std::string_view name)
+{
+    auto const found = std::ranges::find(zones, name, &ZoneRoute::availabilityZone);
+    return found == zones.end() ? nullptr : &*found;
+}
+
+unsigned slotsOf(ZoneRoute const& zone, std::string const& version)
+{
+    auto const found = zone.slotsByVersion.find(version);
+    return found == zone.slotsByVersion.end() ? 0 : found->second;
+}
+
+/// A zone in proportion to its slots for the version; nullptr when no zone has any.
+ZoneRoute const* drawZone(std::vector<ZoneRoute const*> const& zones, std::string const& version, double uniform)
+{
+    unsigned total = 0;
+    for (auto const* zone : zones)
+        total += slotsOf(*zone, version);
+    auto position = static_cast<unsigned>(uniform * total);
+    for (auto const* zone : zones) {
+        auto const slots = slotsOf(*zone, version);
+        if (position < slots)
+            return zone;
+        position -= slots;
+    }
+    return nullptr;
+}
+
+ZoneRoute const* chooseZone(DaemonServices& services, RequestContext const& context,
+    std::vector<ZoneRoute> const& zones, std::string const& version, double uniform)
+{
+    std::vector<ZoneRoute const*> usable;
+    for (auto const& zone : zones) {
+        bool const hasFailed
+            = std::ranges::find(context.failedZones, zone.availabilityZone) != context.failedZones.end();
+        if (!hasFailed && slotsOf(zone, version) > 0)
+            usable.push_back(&zone);
+    }
+    auto const own = std::ranges::find(usable, services.settings.availabilityZone, &ZoneRoute::availabilityZone);
+    auto const* const wanted = own != usable.end() ? *own : drawZone(usable, version, uniform);
+    if (!wanted)
+        return nullptr;
+    auto const moved = services.coordination.zoneFor(context.classification.service, wanted->availabilityZone, uniform);
+    auto const target = std::ranges::find(usable, moved, &ZoneRoute::availabilityZone);
+    return target != usable.end() ? *target : wanted;
+}
+
+}
+
+Result<GroupChoice> chooseGroup(DaemonServices& services, RequestContext const& context)
+{
+    auto const& classification = context.classification;
+    auto const table = services.routing.current();
+    auto const found = table->services.find(classification.service);
+    if (found == table->services.end())
+        return Error { ErrorKind::NoTargetAvailable, "the service has no availability zone in service" };
+    auto const& zones = found->second;
+    GroupChoice choice;
+    double const uniform = context.draw / drawRange;
+    choice.version = services.coordination.versionFor(
+        classification.service, classification.department, classification.routeName, uniform);
+    auto const* zone = classification.chosenGroup && context.failedZones.empty()
+        ? zoneNamed(zones, classification.chosenGroup->availabilityZone)
+        : nullptr;
+    if (!zone)
+        zone = chooseZone(services, context, zones, choice.version.version, uniform);
+    if (!zone || zone->shards.empty()) {
+        return Error { ErrorKind::NoTargetAvailable,
+            "no availability zone in service has version " + choice.version.version };
+    }
+    auto const shards = static_cast<unsigned>(zone->shards.size());
+    auto const shard = Routing::shardOfRequest(classification.requestId, shards);
+    choice.group = { zone->availabilityZone, shard, context.draw };
+    choice.dispatcher = zone->shards[shard].dispatcher;
+    choice.home = zone->shards[shard].home;
+    return choice;
+}
+
+Routing::PickRequest pickRequestFor(
+    DaemonServices& services, RequestContext const& context, GroupChoice const& choice, Core::Instant now)
+{
+    Routing::PickRequest request;
+    request.version = choice.version.version;
+    request.idempotent = context.classification.isIdempotent;
+    request.suspect = services.retries.isSuspect(context.fingerprint, now);
+    request.excludedTargets = context.failedTargets;
+    return request;
+}
+
+}
--- /dev/null
+++ b/Services/comfreysaild/GroupDispatcher.cpp
@@ -0,0 +1,193 @@
+#include "GroupDispatcher.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace Comfreysail::Daemon {
+
+using Core::Error;
+using Core::ErrorKind;
+using Core::Instant;
+using Core::Result;
+namespace asio = boost::asio;
+
+namespace {
+
+std::map<std::string, HTTP::Endpoint> endpointsOf(std::vector<Routing::Target> const& targets)
+{
+    std::map<std::string, HTTP::Endpoint> endpoints;
+    for (auto const& target : targets)
+        endpoints[target.name] = { target.address, target.port };
+    return endpoints;
+}
+
+}
+
+struct GroupDispatcher::Waiter {
+    explicit Waiter(asio::any_io_executor strand, Routing::PickRequest request)
+        : timer(strand, asio::steady_timer::time_point::max())
+        , request(std::move(request))
+    {
+    }
+
+    asio::steady_timer timer; ///< Touched on the strand of the request only.
+    Routing::PickRequest request;
+    Admission::Ticket ticket;
+    std::optional<Result<Dispatched>> result; ///< Guarded by the dispatcher's mutex.
+};
+
+GroupDispatcher::GroupDispatcher(Routing::GroupKey key, std::vector<Routing::Target> targets,
+    Routing::GroupOptions groupOptions, Admission::AdmissionOptions admissionOptions, Instant now)
+    : m_key(key)
+    , m_group(std::move(key), targets, groupOptions, now)
+    , m_queue(admissionOptions)
+    , m_endpoints(endpointsOf(targets))
+{
+}
+
+HTTP::Endpoint GroupDispatcher::endpointOf(std::string const& target) const
+{
+    auto const found = m_endpoints.find(target);
+    return found == m_endpoints.end() ? HTTP::Endpoint {} : found->second;
+}
+
+HTTP::awaitable<Result<Dispatched>> GroupDispatcher::admit(RequestContext& context, Routing::PickRequest request)
+{
+    auto const& classification = context.classification;
+    auto const now = Core::monotonicNow();
+    auto waiter = std::make_shared<Waiter>(context.exchange.strand(), std::move(request));
+    Admission::QueuedRequest queued;
+    queued.department = classification.department;
+    queued.requestClass = static_cast<Admission::RequestClass>(classification.routeClass);
+    queued.weight = classification.settings.weight;
+    queued.deadline = std::min(context.deadline(), now + classification.settings.queueTimeout);
+    {
+        std::lock_guard const lock(m_mutex);
+        queued.id = ++m_lastId;
+        auto enqueued = m_queue.enqueue(queued, now);
+        if (isError(enqueued))
+            co_return errorOf(enqueued);
+        waiter->ticket = valueOf(enqueued);
+        m_waiters.emplace(queued.id, waiter);
+        dispatch(now);
+        if (waiter->result)
+            co_return *std::move(waiter->result);
+    }
+    StopSignal::Scope const scope(context.stopSignal, [&waiter] { waiter->timer.cancel(); });
+    co_await waiter->timer.async_wait(HTTP::useTuple);
+    std::lock_guard const lock(m_mutex);
+    if (!waiter->result) {
+        m_waiters.erase(queued.id);
+        m_queue.cancel(waiter->ticket, Core::monotonicNow());
+        auto const reason = context.stopSignal.reason().value_or(ErrorKind::Internal);
+        co_return Error { reason == ErrorKind::DeadlineExceeded ? ErrorKind::DeadlineExceededInQueue : reason,
+            "while queued" };
+    }
+    co_return *std::move(waiter->result);
+}
+
+void GroupDispatcher::resolve(uint64_t id, Result<Dispatched> result)
+{
+    auto const found = m_waiters.find(id);
+    if (found == m_waiters.end())
+        return;
+    auto waiter = found->second;
+    m_waiters.erase(found);
+    waiter->result = std::move(result);
+    asio::post(waiter->timer.get_executor(), [waiter] { waiter->timer.cancel(); });
+}
+
+void GroupDispatcher::dispatch(Instant now)
+{
+    for (auto const& expired : m_queue.expire(now))
+        resolve(expired.id, Error { expired.reason, "while queued" });
+    if (m_queue.queued() == 0)
+        return;
+    for (auto const& admitted : m_queue.dispatch(m_group.freeCapacity(now), now)) {
+        auto const found = m_waiters.find(admitted.id);
+        if (found == m_waiters.end()) {
+            m_queue.cancel(admitted.ticket, now);
+            continue;
+        }
+        auto pick = m_group.pick(found->second->request, now);
+        if (isError(pick)) {
+            m_queue.putBack(admitted.ticket, now);
+            continue;
+        }
+        resolve(admitted.id, Dispatched { admitted.ticket, valueOf(pick), endpointOf(valueOf(pick).target), now });
+    }
+}
+
+Result<Dispatched> GroupDispatcher::pickAgain(
+    Dispatched const& previous, Routing::PickRequest const& request, Instant now)
+{
+    std::lock_guard const lock(m_mutex);
+    auto pick = m_group.pick(request, now);
+    if (isError(pick))
+        return errorOf(pick);
+    return Dispatched { previous.ticket, valueOf(pick), endpointOf(valueOf(pick).target), now };
+}
+
+void GroupDispatcher::noteSendEnded(
+    Dispatched& dispatched, Routing::SendOutcome outcome, Routing::LoadHint hint, Instant now)
+{
+    if (!std::exchange(dispatched.isSendOpen, false))
+        return;
+    std::lock_guard const lock(m_mutex);
+    m_group.noteFinished(dispatched.pick.target, outcome, dispatched.sentAt, hint, now);
+}
+
+void GroupDispatcher::finish(Dispatched const& dispatched, Instant now)
+{
+    std::lock_guard const lock(m_mutex);
+    m_queue.finish(dispatched.ticket, now);
+    dispatch(now);
+}
+
+void GroupDispatcher::replaceTargets(std::vector<Routing::Target> targets, Instant now)
+{
+    std::lock_guard const lock(m_mutex);
+    m_endpoints = endpointsOf(targets);
+    m_group.replaceTargets(std::move(targets), now);
+    dispatch(now);
+}
+
+void GroupDispatcher::setMode(Routing::DispatchMode mode, Instant now)
+{
+    std::lock_guard const lock(m_mutex);
+    if (m_group.mode() != mode)
+        m_group.setMode(mode, now);
+}
+
+void GroupDispatcher::setAvailabilityZoneIn(bool isIn, Instant now)
+{
+    std::lock_guard const lock(m_mutex);
+    if (m_isIn == isIn)
+        return;
+    m_isIn = isIn;
+    m_group.setAvailabilityZoneIn(isIn, now);
+    if (isIn)
+        return;
+    // Requests that wait here are sent to another zone at once instead of waiting for their deadline.
+    for (auto const& [id, waiter] : std::exchange(m_waiters, {})) {
+        m_queue.cancel(waiter->ticket, now);
+        waiter->result = Error { ErrorKind::NoTargetAvailable, "the availability zone was taken out of service" };
+        asio::post(waiter->timer.get_executor(), [waiter = waiter] { waiter->timer.cancel(); });
+    }
+}
+
+void GroupDispatcher::tick(Instant now)
+{
+    std::lock_guard const lock(m_mutex);
+    dispatch(now);
+}
+
+Routing::GroupLoad GroupDispatcher::load(Instant now) const
+{
+    std::lock_guard const lock(m_mutex);
+    auto load = m_group.load(now);
+    load.queued = static_cast<unsigned>(m_queue.queued());
+    return load;
+}
+
+}
--- /dev/null
+++ b/Services/comfreysaild/HomeHop.cpp
@@ -0,0 +1,69 @@
+#include "HomeHop.h"
+
+#include "ForwardedHeads.h"
+#include "ResponseRelay.h"
+#include <algorithm>
+#include <array>
+
+namespace Comfreysail::Daemon {
+
+using Core::Error;
+using Core::ErrorKind;
+using HTTP::awaitable;
+using Kind = ForwardEnd::Kind;
+
+namespace {
+
+/// Refusals that concern the home itself and not the request: this daemon can serve it.
+constexpr std::array homeRefusals { ErrorKind::ShuttingDown, ErrorKind::Isolated, ErrorKind::SettingsUnavailable };
+
+bool isHomeRefusal(HTTP::ResponseHead const& head)
+{
+    auto const name = head.fields.find(Core::Header::error);
+    return name && saysNotRun(head)
+        && std::ranges::any_of(homeRefusals, [&](ErrorKind kind) { return Core::errorName(kind) == *name; });
+}
+
+ForwardEnd endOfFailedHop(DaemonServices& services, RequestContext& context, Error error)
+{
+    if (context.stopSignal.reason())
+        return { Kind::Refused, std::move(error) };
+    if (error.kind == ErrorKind::ConnectFailed)
+        return { Kind::TryElsewhere, { ErrorKind::HomeUnavailable, std::move(error.detail) } };
+    Retry::FailedAttempt attempt;
+    attempt.error = error.kind;
+    attempt.attempt = context.attempt;
+    attempt.isIdempotent = context.classification.isIdempotent;
+    attempt.isBodyReplayable = context.isBodyReplayable();
+    attempt.deadline = context.deadline();
+    bool const mayRetry
+        = services.retries.decide(context.classification.service, attempt, Core::monotonicNow()).shouldRetry;
+    return { mayRetry ? Kind::TryElsewhere : Kind::Refused, std::move(error) };
+}
+
+}
+
+awaitable<ForwardEnd> forwardToHome(DaemonServices& services, RequestContext& context, GroupChoice const& choice)
+{
+    HTTP::Endpoint const endpoint { choice.home->address, choice.home->peerHttpPort };
+    bool const mayHaveRunBefore = context.mayHaveRun;
+    auto const policy = context.classification.isIdempotent ? HTTP::ReusePolicy::Any : HTTP::ReusePolicy::RecentlyUsed;
+    ++context.attempt;
+    auto sent = co_await services.upstream.send(
+        context, endpoint, policy, headForHome(context, choice.group, Core::monotonicNow()));
+    if (isError(sent))
+        co_return endOfFailedHop(services, context, errorOf(sent));
+    auto upstream = takeValue(std::move(sent));
+    if (isHomeRefusal(upstream.head) && context.isBodyReplayable()) {
+        services.upstream.abandon(upstream);
+        context.mayHaveRun = mayHaveRunBefore;
+        co_return ForwardEnd { Kind::TryElsewhere, { ErrorKind::HomeUnavailable, "the home refuses work" } };
+    }
+    if (context.classification.routeClass == Settings::RouteClass::Download)
+        context.deadlineWatchdog->disarm();
+    auto callerHead = headForCaller(context, upstream.head, mayHaveRunBefore);
+    co_await relayResponse(context, services.upstream, upstream, std::move(callerHead), nullptr);
+    co_return ForwardEnd {};
+}
+
+}
--- /dev/null
+++ b/Services/comfreysaild/RequestHandler.cpp
@@ -0,0 +1,173 @@
+#include "RequestHandler.h"
+
+#include "Classifier.h"
+#include "HomeHop.h"
+#include "RequestBody.h"
+#include <algorithm>
+#include <random>
+
+namespace Comfreysail::Daemon {
+
+using Core::Empty;
+using Core::Error;
+using Core::ErrorKind;
+using Core::Result;
+using HTTP::awaitable;
+using Kind = ForwardEnd::Kind;
+
+namespace {
+
+// Each round leaves out a home or a zone that failed; the bound only guards against a fault in that rule.
+constexpr unsigned maxRounds = 8;
+constexpr unsigned maxHops = 2;
+
+/// Counts the requests that are worked on, so that a shutdown can wait for them.
+class ActiveRequest {
+public:
+    explicit ActiveRequest(std::atomic<unsigned>& count)
+        : m_count(count)
+    {
+        ++m_count;
+    }
+    ~ActiveRequest() { --m_count; }
+    ActiveRequest(ActiveRequest const&) = delete;
+    ActiveRequest& operator=(ActiveRequest const&) = delete;
+
+private:
+    std::atomic<unsigned>& m_count;
+};
+
+uint32_t randomDraw()
+{
+    thread_local std::mt19937 generator { std::random_device {}() };
+    return generator();
+}
+
+/// "unknown" as soon as any send may have run the request, whatever the last error was.
+Core::RequestOutcome outcomeFor(RequestContext const& context, ErrorKind kind)
+{
+    return context.mayHaveRun ? Core::RequestOutcome::Unknown : Core::errorRule(kind).outcome;
+}
+
+}
+
+RequestHandler::RequestHandler(DaemonServices& services)
+    : m_services(services)
+    , m_targetSender(services)
+{
+}
+
+awaitable<void> RequestHandler::handle(HTTP::ServerExchange& exchange, Origin origin)
+{
+    ActiveRequest const active(m_services.activeRequests);
+    RequestContext context(exchange, origin);
+    context.arrivedAt = Core::monotonicNow();
+    auto const prepared = co_await prepare(context);
+    if (isError(prepared)) {
+        co_await refuse(context, errorOf(prepared));
+        co_return;
+    }
+    m_services.retries.noteCall(context.classification.service, context.classification.settings.retryPercent);
+    auto const end = co_await forward(context);
+    if (end.kind == Kind::Answered)
+        recordEnd(context, nullptr);
+    else
+        co_await refuse(context, end.error);
+}
+
+awaitable<Result<Empty>> RequestHandler::prepare(RequestContext& context)
+{
+    auto const settings = m_services.coordination.settings();
+    if (m_services.refusesNewWork)
+        co_return Error { ErrorKind::ShuttingDown, {} };
+    if (auto const refusal = m_services.coordination.refusal())
+        co_return Error { *refusal, {} };
+    auto classified = classify(context.exchange.head(), *settings->tree, context.origin, context.arrivedAt);
+    if (isError(classified))
+        co_return errorOf(classified);
+    context.classification = takeValue(std::move(classified));
+    auto const& chosen = context.classification.chosenGroup;
+    context.draw = chosen ? chosen->draw : randomDraw();
+    armDeadline(context);
+    StopSignal::Scope const scope(context.stopSignal, [&context] { context.exchange.cancelReadIfReading(); });
+    auto buffered = co_await bufferBody(context);
+    if (context.stopSignal.reason())
+        co_return Error { ErrorKind::DeadlineExceededInQueue, "the body did not arrive in time" };
+    if (isError(buffered))
+        co_return buffered;
+    auto const& classification = context.classification;
+    context.fingerprint = Retry::fingerprintOf(
+        { classification.service, context.exchange.head().method, context.exchange.head().target, *context.body });
+    if (m_services.retries.isRefused(context.fingerprint, context.arrivedAt))
+        co_return Error { ErrorKind::RequestQuarantined, {} };
+    if (!context.isStreamed)
+        context.exchange.watchCaller([&context] { context.stopSignal.stop(ErrorKind::CallerGone); });
+    co_return Empty {};
+}
+
+awaitable<ForwardEnd> RequestHandler::forward(RequestContext& context)
+{
+    ForwardEnd last { Kind::Refused, { ErrorKind::NoTargetAvailable, {} } };
+    for (unsigned round = 0; round < maxRounds; ++round) {
+        auto const chosen = chooseGroup(m_services, context);
+        if (isError(chosen))
+            co_return round == 0 ? ForwardEnd { Kind::Refused, errorOf(chosen) } : last;
+        auto const& choice = valueOf(chosen);
+        bool const goesToHome = choice.home && context.classification.hops < maxHops
+            && std::ranges::find(context.failedHomes, choice.home->name) == context.failedHomes.end();
+        if (goesToHome) {
+            last = co_await forwardToHome(m_services, context, choice);
+            context.failedHomes.push_back(choice.home->name);
+        } else {
+            last = co_await m_targetSender.run(context, choice);
+            context.failedZones.push_back(choice.group.availabilityZone);
+        }
+        if (last.kind != Kind::TryElsewhere || context.stopSignal.reason())
+            co_return last;
+    }
+    co_return last;
+}
+
+awaitable<void> RequestHandler::refuse(RequestContext& context, Error const& error)
+{
+    auto& exchange = context.exchange;
+    recordEnd(context, &error);
+    if (exchange.isResponseStarted() || error.kind == ErrorKind::CallerGone) {
+        exchange.abort();
+        co_return;
+    }
+    auto const kind = error.kind == ErrorKind::DeadlineExceeded && !context.mayHaveRun
+        ? ErrorKind::DeadlineExceededInQueue
+        : error.kind;
+    auto response = HTTP::errorResponse({ kind, error.detail }, outcomeFor(context, kind));
+    if (!context.classification.requestId.empty())
+        response.head.fields.set(Core::Header::requestId, context.classification.requestId);
+    if (!exchange.isBodyFinished())
+        exchange.closeAfterResponse();
+    context.deadlineWatchdog->disarm();
+    co_await exchange.respond(std::move(response.head), response.body);
+}
+
+void RequestHandler::recordEnd(RequestContext const& context, Error const* error)
+{
+    auto const& classification = context.classification;
+    auto const name = error ? Core::errorName(error->kind) : std::string_view("none");
+    Telemetry::Labels const labels { { "class", std::string(Settings::routeClassName(classification.routeClass)) },
+        { "department", classification.department } };
+    auto const latency = Core::monotonicNow() - context.arrivedAt;
+    m_services.metrics.histogram("comfreysail_request_seconds", labels).add(latency);
+    m_services.metrics.counter("comfreysail_requests_total", { { "error", std::string(name) } }).add();
+    if (!error)
+        return;
+    Telemetry::EventLine("request_refused")
+        .add("request_id", classification.requestId)
+        .add("service", classification.service)
+        .add("department", classification.department)
+        .add("error", name)
+        .add("detail", error->detail)
+        .add("attempts", context.attempt)
+        .add("outcome", Core::outcomeName(outcomeFor(context, error->kind)))
+        .logInfo();
+}
+
+}
--- /dev/null
+++ b/Services/comfreysaild/RequestHandler.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "DaemonServices.h"
+#include "RequestContext.h"
+#include "TargetSender.h"
+
+namespace Comfreysail::Daemon {
+
+/// The request path of design.md, section 3: from the head of a request to the end of its response.
+class RequestHandler {
+public:
+    explicit RequestHandler(DaemonServices&);
+
+    HTTP::awaitable<void> handle(HTTP::ServerExchange&, Origin);
+
+private:
+    HTTP::awaitable<Core::Result<Core::Empty>> prepare(RequestContext&);
+    HTTP::awaitable<ForwardEnd> forward(RequestContext&);
+    HTTP::awaitable<void> refuse(RequestContext&, Core::Error const&);
+    void recordEnd(RequestContext const&, Core::Error const*);
+
+    DaemonServices& m_services;
+    TargetSender m_targetSender;
+};
+
+}
--- /dev/null
+++ b/Services/comfreysaild/ResponseRelay.cpp
@@ -0,0 +1,92 @@
+#include "ResponseRelay.h"
+
+namespace Comfreysail::Daemon {
+
+using Core::ErrorKind;
+using HTTP::awaitable;
+
+namespace {
+
+constexpr size_t pieceSize = size_t { 64 } * 1024;
+
+/// Sends one piece; a stop during a blocked send ends it by resetting the caller's connection.
+awaitable<bool> sendPiece(RequestContext& context, std::string_view piece)
+{
+    StopSignal::Scope const scope(context.stopSignal, [&context] { context.exchange.abort(); });
+    bool const isSent = co_await context.exchange.sendBody(piece);
+    co_return isSent;
+}
+
+awaitable<bool> finishUpload(RequestContext& context, Upstream& upstream)
+{
+    if (!upstream.connection->isSending())
+        co_return true;
+    // The target answered without reading the whole body, so the connection cannot be used again.
+    upstream.connection->close();
+    context.exchange.cancelReadIfReading();
+    co_await upstream.connection->waitForSender();
+    co_return false;
+}
+
+}
+
+awaitable<RelayEnd> relayResponse(RequestContext& context, UpstreamClient& client, Upstream& upstream,
+    HTTP::ResponseHead headForCaller, ResumeBody resume)
+{
+    auto& exchange = context.exchange;
+    auto resumable = ResumableBody::of(exchange.head(), upstream.head);
+    bool const isLengthKnown = !headForCaller.chunked;
+    exchange.startResponse(std::move(headForCaller));
+    auto const buffer = std::make_unique_for_overwrite<char[]>(pieceSize);
+    auto end = RelayEnd::Complete;
+    while (true) {
+        // A head without a body piece at hand goes out now; otherwise both leave in one write.
+        bool isSent = true;
+        if (!upstream.connection->hasBufferedBody())
+            isSent = co_await exchange.flush();
+        if (!isSent) {
+            end = RelayEnd::CallerGone;
+            break;
+        }
+        auto const size = co_await client.readBody(context, upstream, { buffer.get(), pieceSize });
+        if (!isError(size)) {
+            if (valueOf(size) == 0)
+                break;
+            if (resumable)
+                resumable->sent += valueOf(size);
+            std::string_view const piece(buffer.get(), valueOf(size));
+            isSent = co_await sendPiece(context, piece);
+            if (!isSent) {
+                end = RelayEnd::CallerGone;
+                break;
+            }
+            continue;
+        }
+        if (context.stopSignal.reason()) {
+            end = RelayEnd::CallerGone;
+            break;
+        }
+        bool const mayResume = errorOf(size).kind == ErrorKind::ConnectionLost && resumable && isLengthKnown && resume;
+        bool isResumed = false;
+        if (mayResume)
+            isResumed = co_await resume(upstream, *resumable);
+        if (!isResumed) {
+            end = RelayEnd::UpstreamLost;
+            break;
+        }
+    }
+    bool const wasUploadFinished = co_await finishUpload(context, upstream);
+    if (end == RelayEnd::Complete) {
+        bool const isFinished = co_await exchange.finish();
+        end = isFinished ? RelayEnd::Complete : RelayEnd::CallerGone;
+    }
+    if (end != RelayEnd::Complete)
+        exchange.abort();
+    if (end == RelayEnd::Complete && wasUploadFinished)
+        client.finish(upstream);
+    else
+        client.abandon(upstream);
+    co_return end;
+}
+
+}
--- /dev/null
+++ b/Services/comfreysaild/RetryTable.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <LibRetry/Retry.h>
+#include <map>
+#include <mutex>
+#include <string>
+
+namespace Comfreysail::Daemon {
+
+/// Retry budgets by service and the quarantine of this daemon. Thread safe; lock level "retry table" of design.md.
+class RetryTable {
+public:
+    void noteCall(std::string const& service, unsigned retryPercent);
+    Retry::RetryDecision decide(std::string const& service, Retry::FailedAttempt const&, Core::Instant now);
+
+    void noteCrash(Retry::CrashReport const&, Core::Instant now);
+    void noteAnswered(uint64_t fingerprint, Core::Instant now);
+    bool isRefused(uint64_t fingerprint, Core::Instant now) const;
+    bool isSuspect(uint64_t fingerprint, Core::Instant now) const;
+    std::vector<Retry::QuarantineEntry> quarantine(Core::Instant now) const;
+
+private:
+    mutable std::mutex m_mutex;
+    std::map<std::string, Retry::RetryBudget, std::less<>> m_budgets;
+    Retry::Quarantine m_quarantine;
+};
+
+}
--- /dev/null
+++ b/Services/comfreysaild/RoutingTable.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "Coordination.h"
+#include "GroupDispatcher.h"
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Comfreysail::Daemon {
+
+/// One shard of a service's targets in an availability zone.
+struct ShardRoute {
+    std::shared_ptr<GroupDispatcher> dispatcher;
+    std::optional<PeerMember> home; ///< Nothing when this daemon is the home, or when no daemon is.
+};
+
+struct ZoneRoute {
+    std::string availabilityZone;
+    std::map<std::string, unsigned, std::less<>> slotsByVersion;
+    std::vector<ShardRoute> shards;
+};
+
+/// Where requests can go under one state of settings and members. Immutable.
+struct RoutingTable {
+    Coordination::SettingsPointer settings;
+    std::map<std::string, std::vector<ZoneRoute>, std::less<>> services; ///< Zones that are out of service are absent.
+};
+
+/// Keeps the routing table up to date. Dispatchers live on over rebuilds, because they hold the in-flight counts.
+/// Thread safe.
+class RoutingTableOwner {
+public:
+    RoutingTableOwner(Coordination&, DaemonSettings const&);
+
+    std::shared_ptr<RoutingTable const> current() const;
+
+    /// Rebuilds the table when settings or members changed since the last call.
+    void refresh(Core::Instant now);
+
+    /// Lets waiting requests go in every group, for targets whose limits rise with time.
+    void tick(Core::Instant now);
+
+    std::vector<std::shared_ptr<GroupDispatcher>> dispatchers() const;
+
+private:
+    struct Group {
+        std::shared_ptr<GroupDispatcher> dispatcher;
+        std::vector<Routing::Target> targets;
+    };
+
+    void addService(RoutingTable&, std::string const& name, Settings::Service const&, std::vector<PeerMember> const&,
+        Core::Instant now);
+    std::shared_ptr<GroupDispatcher> dispatcherFor(
+        Routing::GroupKey const&, std::vector<Routing::Target>, Settings::SettingsTree const&, Core::Instant now);
+    std::optional<PeerMember> homeOfGroup(Routing::GroupKey const&, std::vector<PeerMember> const&) const;
+
+    Coordination& m_coordination;
+    DaemonSettings const& m_daemonSettings;
+    mutable std::mutex m_mutex; ///< Lock level "group table" of design.md.
+    std::shared_ptr<RoutingTable const> m_table { std::make_shared<RoutingTable const>() };
+    std::map<Routing::GroupKey, Group> m_groups;
+    std::optional<uint64_t> m_generation;
+};
+
+}
--- /dev/null
+++ b/Services/comfreysaild/TargetSender.cpp
@@ -0,0 +1,233 @@
+#include "TargetSender.h"
+
+#include "ForwardedHeads.h"
+#include "ResponseRelay.h"
+#include <array>
+
+namespace Comfreysail::Daemon {
+
+using Core::Error;
+using Core::ErrorKind;
+using Core::Result;
+using HTTP::awaitable;
+using Kind = ForwardEnd::Kind;
+using Routing::SendOutcome;
+
+namespace {
+
+constexpr unsigned firstServerErrorStatus = 500;
+
+SendOutcome outcomeOf(ErrorKind kind)
+{
+    switch (kind) {
+    case ErrorKind::ConnectFailed:
+        return SendOutcome::ConnectFailed;
+    case ErrorKind::ConnectionLost:
+        return SendOutcome::ConnectionLost;
+    case ErrorKind::DeadlineExceeded:
+        return SendOutcome::TimedOut;
+    case ErrorKind::TargetShedRequest:
+        return SendOutcome::Shed;
+    case ErrorKind::InvalidTargetAnswer:
+        return SendOutcome::ServerError;
+    default:
+        return SendOutcome::Cancelled;
+    }
+}
+
+Routing::LoadHint loadHintOf(HTTP::ResponseHead const& head)
+{
+    return Routing::parseLoadHint(head.fields.find(Core::Header::load).value_or(""));
+}
+
+HTTP::ReusePolicy reusePolicy(RequestContext const& context, Routing::Pick const& pick)
+{
+    if (pick.connectFresh)
+        return HTTP::ReusePolicy::None;
+    return context.classification.isIdempotent ? HTTP::ReusePolicy::Any : HTTP::ReusePolicy::RecentlyUsed;
+}
+
+Core::WallTime startByOf(RequestContext const& context, Core::Instant now)
+{
+    return Core::wallNow() + std::chrono::floor<std::chrono::milliseconds>(context.deadline() - now);
+}
+
+}
+
+TargetSender::TargetSender(DaemonServices& services)
+    : m_services(services)
+{
+}
+
+awaitable<ForwardEnd> TargetSender::run(RequestContext& context, GroupChoice const& choice)
+{
+    auto admitted
+        = co_await choice.dispatcher->admit(context, pickRequestFor(m_services, context, choice, Core::monotonicNow()));
+    if (isError(admitted)) {
+        auto const& error = errorOf(admitted);
+        auto const kind = error.kind == ErrorKind::NoTargetAvailable ? Kind::TryElsewhere : Kind::Refused;
+        co_return ForwardEnd { kind, error };
+    }
+    auto dispatched = takeValue(std::move(admitted));
+    auto end = co_await sendUntilDecided(context, choice, dispatched);
+    choice.dispatcher->finish(dispatched, Core::monotonicNow());
+    co_return end;
+}
+
+awaitable<ForwardEnd> TargetSender::sendUntilDecided(
+    RequestContext& context, GroupChoice const& choice, Dispatched& dispatched)
+{
+    while (true) {
+        auto end = co_await sendOnce(context, choice, dispatched);
+        if (end.kind == Kind::Answered || context.stopSignal.reason())
+            co_return end;
+        auto const decision = decideRetry(context, end.error);
+        if (!decision.shouldRetry)
+            co_return end;
+        context.failedTargets.push_back(dispatched.pick.target);
+        if (decision.shouldLeaveZone && hasOtherZone(context, choice))
+            co_return ForwardEnd { Kind::TryElsewhere, end.error };
+        auto const now = Core::monotonicNow();
+        auto next = choice.dispatcher->pickAgain(dispatched, pickRequestFor(m_services, context, choice, now), now);
+        // FIXME: A request that only lacks a free slot on another target of the zone is not queued again here.
+        if (isError(next))
+            co_return ForwardEnd { Kind::TryElsewhere, end.error };
+        dispatched = valueOf(next);
+    }
+}
+
+bool TargetSender::hasOtherZone(RequestContext& context, GroupChoice const& choice)
+{
+    context.failedZones.push_back(choice.group.availabilityZone);
+    bool const hasOther = !isError(chooseGroup(m_services, context));
+    context.failedZones.pop_back();
+    return hasOther;
+}
+
+awaitable<Result<Upstream>> TargetSender::sendTo(
+    RequestContext& context, GroupChoice const& choice, Dispatched& dispatched, HTTP::RequestHead head)
+{
+    auto const crashSend = m_services.crashes.noteSent(dispatched.pick.target, context.fingerprint, Core::wallNow());
+    auto result = co_await m_services.upstream.send(
+        context, dispatched.endpoint, reusePolicy(context, dispatched.pick), std::move(head));
+    if (isError(result)) {
+        auto const now = Core::monotonicNow();
+        auto const kind = errorOf(result).kind;
+        if (kind == ErrorKind::ConnectionLost)
+            noteCrash(crashSend, now);
+        choice.dispatcher->noteSendEnded(dispatched, outcomeOf(kind), {}, now);
+    }
+    m_services.crashes.noteEnded(crashSend);
+    co_return result;
+}
+
+void TargetSender::noteCrash(CrashTracker::Send const& send, Core::Instant now)
+{
+    for (auto const fingerprint : m_services.crashes.noteCrashed(send))
+        m_services.retries.noteCrash({ fingerprint, send.instance }, now);
+}
+
+awaitable<Error> TargetSender::takeShedResponse(RequestContext& context, Upstream& upstream)
+{
+    // The body is read so that the connection can be used again; shedding must stay cheap for the target.
+    std::array<char, 4096> buffer {};
+    for (int piece = 0; piece < 4; ++piece) {
+        auto const size = co_await m_services.upstream.readBody(context, upstream, buffer);
+        if (isError(size) || valueOf(size) == 0)
+            break;
+    }
+    if (upstream.connection->isSending()) {
+        m_services.upstream.abandon(upstream);
+        context.exchange.cancelReadIfReading();
+        co_await upstream.connection->waitForSender();
+    } else {
+        m_services.upstream.finish(upstream);
+    }
+    co_return Error { ErrorKind::TargetShedRequest, {} };
+}
+
+awaitable<ForwardEnd> TargetSender::sendOnce(RequestContext& context, GroupChoice const& choice, Dispatched& dispatched)
+{
+    ++context.attempt;
+    bool const mayHaveRunBefore = context.mayHaveRun;
+    auto const now = Core::monotonicNow();
+    auto head = headForTarget(context, startByOf(context, now), now);
+    auto sent = co_await sendTo(context, choice, dispatched, std::move(head));
+    if (isError(sent))
+        co_return ForwardEnd { Kind::Refused, errorOf(sent) };
+    auto upstream = takeValue(std::move(sent));
+    auto const hint = loadHintOf(upstream.head);
+    if (isShed(upstream.head)) {
+        auto error = co_await takeShedResponse(context, upstream);
+        context.mayHaveRun = mayHaveRunBefore;
+        choice.dispatcher->noteSendEnded(dispatched, SendOutcome::Shed, hint, Core::monotonicNow());
+        co_return ForwardEnd { Kind::Refused, std::move(error) };
+    }
+    m_services.retries.noteAnswered(context.fingerprint, Core::monotonicNow());
+    auto const status = upstream.head.status;
+    // Downloads may take longer than any deadline that makes sense for the head; a stalled body still ends them.
+    if (context.classification.routeClass == Settings::RouteClass::Download)
+        context.deadlineWatchdog->disarm();
+    auto resumeBody = [&](Upstream& lost, ResumableBody const& rest) -> awaitable<bool> {
+        return resume(context, choice, dispatched, lost, rest);
+    };
+    auto callerHead = headForCaller(context, upstream.head, mayHaveRunBefore);
+    auto const end = co_await relayResponse(context, m_services.upstream, upstream, std::move(callerHead), resumeBody);
+    auto outcome = status >= firstServerErrorStatus ? SendOutcome::ServerError : SendOutcome::Answered;
+    if (end == RelayEnd::UpstreamLost)
+        outcome = SendOutcome::ConnectionLost;
+    else if (end == RelayEnd::CallerGone)
+        outcome = context.stopSignal.reason() == ErrorKind::DeadlineExceeded ? SendOutcome::TimedOut
+                                                                             : SendOutcome::Cancelled;
+    choice.dispatcher->noteSendEnded(dispatched, outcome, hint, Core::monotonicNow());
+    co_return ForwardEnd {};
+}
+
+awaitable<bool> TargetSender::resume(RequestContext& context, GroupChoice const& choice, Dispatched& dispatched,
+    Upstream& upstream, ResumableBody const& rest)
+{
+    bool const isDownload = context.classification.routeClass == Settings::RouteClass::Download;
+    while (true) {
+        m_services.upstream.abandon(upstream);
+        auto const now = Core::monotonicNow();
+        if (isDownload)
+            context.classification.deadline = now + context.classification.settings.timeout;
+        if (!decideRetry(context, { ErrorKind::ConnectionLost, {} }).shouldRetry)
+            co_return false;
+        context.failedTargets.push_back(dispatched.pick.target);
+        auto next = choice.dispatcher->pickAgain(dispatched, pickRequestFor(m_services, context, choice, now), now);
+        if (isError(next))
+            co_return false;
+        choice.dispatcher->noteSendEnded(dispatched, SendOutcome::ConnectionLost, {}, now);
+        dispatched = valueOf(next);
+        ++context.attempt;
+        auto head = headForTarget(context, startByOf(context, now), now);
+        rest.addTo(head.fields);
+        if (isDownload)
+            armDeadline(context);
+        auto sent = co_await sendTo(context, choice, dispatched, std::move(head));
+        if (isDownload)
+            context.deadlineWatchdog->disarm();
+        if (context.stopSignal.reason())
+            co_return false;
+        if (isError(sent))
+            continue;
+        upstream = takeValue(std::move(sent));
+        if (rest.isContinuedBy(upstream.head))
+            co_return true;
+    }
+}
+
+Retry::RetryDecision TargetSender::decideRetry(RequestContext const& context, Error const& error)
+{
+    Retry::FailedAttempt attempt;
+    attempt.error = error.kind;
+    attempt.attempt = context.attempt;
+    attempt.isIdempotent = context.classification.isIdempotent;
+    attempt.isBodyReplayable = context.isBodyReplayable();
+    attempt.isZoneSuspect = !context.failedTargets.empty();
+    attempt.deadline = context.deadline();
+    return m_services.retries.decide(context.classification.service, attempt, Core::monotonicNow());
+}
+
+}
--- /dev/null
+++ b/Services/comfreysaild/TargetSender.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "DaemonServices.h"
+#include "GroupChoice.h"
+#include "ResumableBody.h"
+
+namespace Comfreysail::Daemon {
+
+/// How the work of this daemon on a request ended.
+struct ForwardEnd {
+    enum class Kind : uint8_t {
+        Answered,     ///< The caller has a response, or its connection was reset.
+        Refused,      ///< The caller is to get `error`.
+        TryElsewhere, ///< Another availability zone may serve the request; otherwise the caller gets `error`.
+    };
+
+    Kind kind { Kind::Answered };
+    Core::Error error {};
+};
+
+/// Sends requests to the targets of a group: admission, target selection, retries, resumed downloads.
+class TargetSender {
+public:
+    explicit TargetSender(DaemonServices&);
+
+    HTTP::awaitable<ForwardEnd> run(RequestContext&, GroupChoice const&);
+
+private:
+    HTTP::awaitable<ForwardEnd> sendUntilDecided(RequestContext&, GroupChoice const&, Dispatched&);
+    HTTP::awaitable<ForwardEnd> sendOnce(RequestContext&, GroupChoice const&, Dispatched&);
+    HTTP::awaitable<Core::Result<Upstream>> sendTo(RequestContext&, GroupChoice const&, Dispatched&, HTTP::RequestHead);
+    HTTP::awaitable<Core::Error> takeShedResponse(RequestContext&, Upstream&);
+    HTTP::awaitable<bool> resume(RequestContext&, GroupChoice const&, Dispatched&, Upstream&, ResumableBody const&);
+    Retry::RetryDecision decideRetry(RequestContext const&, Core::Error const&);
+    bool hasOtherZone(RequestContext&, GroupChoice const&);
+    void noteCrash(CrashTracker::Send const&, Core::Instant now);
+
+    DaemonServices& m_services;
+};
+
+}
--- /dev/null
+++ b/Services/comfreysaild/UpstreamClient.cpp
@@ -0,0 +1,116 @@
+#include "UpstreamClient.h"
+
+#include "RequestBody.h"
+
+namespace Comfreysail::Daemon {
+
+using Core::Empty;
+using Core::Error;
+using Core::ErrorKind;
+using Core::Result;
+using HTTP::awaitable;
+using HTTP::ClientConnection;
+
+UpstreamClient::UpstreamClient(HTTP::ConnectionPool& pool, DaemonLimits const& limits)
+    : m_pool(pool)
+    , m_limits(limits)
+{
+}
+
+awaitable<Result<std::shared_ptr<ClientConnection>>> UpstreamClient::connect(
+    RequestContext& context, HTTP::Endpoint const& endpoint)
+{
+    auto connection = m_pool.create(endpoint);
+    auto const close = [&connection] { connection->close(); };
+    StopSignal::Scope const scope(context.stopSignal, close);
+    auto const watchdog = HTTP::Watchdog::create(context.exchange.strand());
+    watchdog->arm(Core::monotonicNow() + m_limits.connectTimeout, close);
+    auto connected = co_await connection->connect();
+    watchdog->disarm();
+    if (context.stopSignal.reason())
+        co_return Error { *context.stopSignal.reason(), "while connecting" };
+    if (isError(connected))
+        co_return errorOf(connected);
+    co_return connection;
+}
+
+awaitable<Result<Empty>> UpstreamClient::sendRequest(
+    RequestContext& context, ClientConnection& connection, HTTP::RequestHead const& head)
+{
+    if (!context.isStreamed)
+        return connection.send(head, context.body);
+    context.isStreamConsumed = true;
+    return connection.sendStreaming(head, streamedBodySource(context));
+}
+
+awaitable<Result<Upstream>> UpstreamClient::send(
+    RequestContext& context, HTTP::Endpoint const& endpoint, HTTP::ReusePolicy policy, HTTP::RequestHead head)
+{
+    bool const mayHaveRunBefore = context.mayHaveRun;
+    auto connection = m_pool.take(endpoint, policy, Core::monotonicNow());
+    while (true) {
+        bool const isPooled = connection != nullptr;
+        if (!isPooled) {
+            auto connected = co_await connect(context, endpoint);
+            if (isError(connected))
+                co_return errorOf(connected);
+            connection = takeValue(std::move(connected));
+        }
+        StopSignal::Scope const scope(context.stopSignal, [&connection] { connection->close(); });
+        context.mayHaveRun = true;
+        auto const sent = co_await sendRequest(context, *connection, head);
+        if (isError(sent)) {
+            context.mayHaveRun = mayHaveRunBefore;
+            connection->close();
+            if (context.stopSignal.reason())
+                co_return Error { *context.stopSignal.reason(), "while sending" };
+            if (!isPooled)
+                co_return errorOf(sent);
+            // The target closed the idle connection, and surely nothing was sent on it.
+            connection = nullptr;
+            continue;
+        }
+        Upstream upstream { connection, {} };
+        auto received = co_await connection->readHead(head.method);
+        if (!isError(received)) {
+            upstream.head = takeValue(std::move(received));
+            co_return upstream;
+        }
+        auto const reason = context.stopSignal.reason();
+        m_pool.discard(connection, reason == ErrorKind::DeadlineExceeded);
+        context.exchange.cancelReadIfReading();
+        co_await connection->waitForSender();
+        if (reason)
+            co_return Error { *reason, "while waiting for the answer" };
+        co_return errorOf(received);
+    }
+}
+
+awaitable<Result<size_t>> UpstreamClient::readBody(RequestContext& context, Upstream& upstream, std::span<char> into)
+{
+    auto& connection = *upstream.connection;
+    StopSignal::Scope const scope(context.stopSignal, [&connection] { connection.close(); });
+    bool isStalled = false;
+    if (!connection.hasBufferedBody()) {
+        context.stallWatchdog->arm(Core::monotonicNow() + m_limits.stallTimeout, [&] {
+            isStalled = true;
+            connection.close();
+        });
+    }
+    auto result = co_await connection.readBody(into);
+    context.stallWatchdog->disarm();
+    if (context.stopSignal.reason())
+        co_return Error { *context.stopSignal.reason(), "while reading the answer" };
+    if (isStalled)
+        co_return Error { ErrorKind::ConnectionLost, "the answer made no progress" };
+    co_return result;
+}
+
+void UpstreamClient::finish(Upstream& upstream) { m_pool.giveBack(upstream.connection, Core::monotonicNow()); }
+
+void UpstreamClient::abandon(Upstream& upstream, bool wasUnresponsive)
+{
+    m_pool.discard(upstream.connection, wasUnresponsive);
+}
+
+}
--- /dev/null
+++ b/Services/comfreysaild/UpstreamClient.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "DaemonSettings.h"
+#include "RequestContext.h"
+#include <LibHTTP/HTTP.h>
+
+namespace Comfreysail::Daemon {
+
+/// A response whose head has arrived and whose body is still to be read.
+struct Upstream {
+    std::shared_ptr<HTTP::ClientConnection> connection;
+    HTTP::ResponseHead head;
+};
+
+/// Sends requests to targets and other daemons over pooled connections.
+class UpstreamClient {
+public:
+    UpstreamClient(HTTP::ConnectionPool&, DaemonLimits const&);
+
+    /// Sends the request and reads the head of the response. Ends early when the context's stop signal says so.
+    /// Sets context.mayHaveRun as soon as a byte may have reached the other side.
+    /// Errors: ConnectFailed (surely not sent), ConnectionLost, InvalidTargetAnswer, or the reason of the stop signal.
+    HTTP::awaitable<Core::Result<Upstream>> send(
+        RequestContext&, HTTP::Endpoint const&, HTTP::ReusePolicy, HTTP::RequestHead);
+
+    /// The next piece of the response body, 0 at its end. A body that makes no progress is ConnectionLost.
+    HTTP::awaitable<Core::Result<size_t>> readBody(RequestContext&, Upstream&, std::span<char> into);
+
+    /// Ends the use of a response that was read to its end; the connection may be used again.
+    void finish(Upstream&);
+
+    /// Ends the use of a response that was not read to its end.
+    void abandon(Upstream&, bool wasUnresponsive = false);
+
+private:
+    HTTP::awaitable<Core::Result<std::shared_ptr<HTTP::ClientConnection>>> connect(
+        RequestContext&, HTTP::Endpoint const&);
+    HTTP::awaitable<Core::Result<Core::Empty>> sendRequest(
+        RequestContext&, HTTP::ClientConnection&, HTTP::RequestHead const&);
+
+    HTTP::ConnectionPool& m_pool;
+    DaemonLimits const& m_limits;
+};
+
+}
