--- a/Libraries/LibHTTP/Server.cpp
+++ b/Libraries/LibHTTP/Server.cpp
@@ -44,7 +44,9 @@
     {
         ErrorCode ignored;
         m_stream.socket.set_option(tcp::no_delay(true), ignored);
-        while (co_await serveOne()) { }
+        bool mayContinue = true;
+        while (mayContinue)
+            mayContinue = co_await serveOne();
         m_watchdogs.read->disarm();
         m_stream.close();
     }
@@ -92,10 +94,12 @@
             exchange.abort();
             co_return false;
         }
-        if (exchange.mayKeepAlive() && co_await discardBody(exchange))
-            co_return true;
-        co_await closeGently();
-        co_return false;
+        bool mayContinue = exchange.mayKeepAlive();
+        if (mayContinue)
+            mayContinue = co_await discardBody(exchange);
+        if (!mayContinue)
+            co_await closeGently();
+        co_return mayContinue;
     }
 
     awaitable<bool> discardBody(ServerExchange& exchange)
