--- a/Meta/Cluster/cluster.py
+++ b/Meta/Cluster/cluster.py
@@ -1,5 +1,6 @@
 """Starts and stops a whole system on loopback: fake platform, fake targets, daemons and callers."""
 
+import http.client
 import json
 import os
 import shutil
@@ -39,7 +40,7 @@
     return ports
 
 
-def http(method, address, path, body=None, timeout=2):
+def call(method, address, path, body=None, timeout=2):
     """Status and body, or (0, reason) when there is no answer."""
     data = None if body is None else json.dumps(body).encode()
     request = urllib.request.Request(f"http://{address}{path}", data=data, method=method)
@@ -48,7 +49,7 @@
             return answer.status, answer.read().decode()
     except urllib.error.HTTPError as error:
         return error.code, error.read().decode(errors="replace")
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, http.client.HTTPException) as error:
         return 0, str(error)
 
 
@@ -143,14 +144,14 @@
     def start_platform(self):
         arguments = ["--port", str(self.platform_port), "--control-port", str(self.platform_control_port)]
         self.platform = self.add(Program("platform", [os.path.join(BIN, "FakePlatform")] + arguments, self.folder))
-        self.wait_for(lambda: http("GET", self.platform_address, "/v1/vms")[0] == 200, 5, "the platform answers")
+        self.wait_for(lambda: call("GET", self.platform_address, "/v1/vms")[0] == 200, 5, "the platform answers")
 
     @property
     def platform_address(self):
         return f"127.0.0.1:{self.platform_port}"
 
     def platform_fault(self, mode, **values):
-        return http("POST", f"127.0.0.1:{self.platform_control_port}", "/faults", {"mode": mode, **values})
+        return call("POST", f"127.0.0.1:{self.platform_control_port}", "/faults", {"mode": mode, **values})
 
     def start_targets(self, counts, options=()):
         """counts: number of targets of each service; they are spread over the zones."""
@@ -162,7 +163,7 @@
                 name = f"{service}-{index + 1}"
                 self.targets.append(self.add(Target(self, name, service, zone, next(ports), list(options) + seed)))
         for target in self.targets:
-            self.wait_for(lambda: http("GET", target.address, "/health")[0] == 200, 5, f"{target.name} answers")
+            self.wait_for(lambda: call("GET", target.address, "/health")[0] == 200, 5, f"{target.name} answers")
 
     def start_daemons(self, count):
         ports = free_ports(4 * count)
@@ -171,7 +172,7 @@
             {"name": f"vm-{i + 1}", "address": "127.0.0.1", "availability_zone": ZONES[i % len(ZONES)], "state": "live"}
             for i in range(count)
         ]
-        http("PUT", self.platform_address, "/v1/vms", {"vms": vms})
+        call("PUT", self.platform_address, "/v1/vms", {"vms": vms})
         for vm, group in zip(vms, groups):
             seeds = [f"127.0.0.1:{other[3]}" for other in groups if other is not group]
             self.daemons.append(self.add(Daemon(self, vm["name"], vm["availability_zone"], group, seeds)))
@@ -219,7 +220,7 @@
 
     def wait_ready(self, seconds=15):
         for daemon in self.daemons:
-            self.wait_for(lambda: http("GET", daemon.admin, "/ready")[0] == 200, seconds, f"{daemon.name} is ready")
+            self.wait_for(lambda: call("GET", daemon.admin, "/ready")[0] == 200, seconds, f"{daemon.name} is ready")
         # A new home waits 2 s before it sends to targets that may be cold (docs/design.md, 4.3).
         time.sleep(2.5)
 
--- a/Tests/Fakes/FakeTarget/Session.cpp
+++ b/Tests/Fakes/FakeTarget/Session.cpp
@@ -54,6 +54,11 @@
     return static_cast<uint64_t>(*first);
 }
 
+bool isControlPath(std::string_view path)
+{
+    return path == "/health" || path == "/load" || path == "/executions" || path == "/faults";
+}
+
 /// One connection.
 class Session : public std::enable_shared_from_this<Session> {
 public:
@@ -98,7 +103,7 @@
     asio::awaitable<bool> answer(Request const& request)
     {
         auto const path = view(request.target());
-        if (path == "/health" || path == "/load" || path == "/executions" || path == "/faults")
+        if (isControlPath(path))
             co_return co_await answerControl(request, path);
         if (!m_state.enter(Core::monotonicNow()))
             co_return co_await refuse(request, ErrorKind::TargetShedRequest);
@@ -224,7 +229,8 @@
     {
         setCommonFields(request, response);
         response.prepare_payload();
-        bool const isCut = Core::monotonicNow() < m_state.faults.cutUntil && response.body().size() > 1;
+        bool const isCut = Core::monotonicNow() < m_state.faults.cutUntil
+            && response.result() < http::status::bad_request && !isControlPath(view(request.target()));
         if (isCut)
             response.body().resize(response.body().size() / 2); // Content-Length keeps the whole length.
         http::response_serializer<http::string_body> serializer(response);
