comfreysaild, LibHTTP: Add claims, evidence and contract tests

Cause: the request path had no tests, and orders with an idempotency key were not claimed.

Change: ClaimGate connects requests with the claim batches and the table service; answers that pass through an entry daemon tell it which targets are warm; every send is reported as evidence. Tests/Support holds a scripted target, a raw connection and the daemon as a process.

Found by the tests: a request that crashed two targets was sent to a third one, because the quarantine was only asked before the first send.

Conclusion: settings and members still come from a file and not from the control plane.

--- a/Services/comfreysaild/Coordination.h
+++ b/Services/comfreysaild/Coordination.h
@@ -1,7 +1,11 @@
 #pragma once
 
 #include "DaemonSettings.h"
+#include "PeerEvents.h"
+#include "PeerMember.h"
+#include "VersionChoice.h"
 #include <LibCore/Core.h>
+#include <LibMoves/Observation.h>
 #include <LibSettings/Settings.h>
 #include <memory>
 #include <optional>
@@ -11,23 +15,6 @@
 
 namespace Comfreysail::Daemon {
 
-struct PeerMember {
-    std::string name;
-    uint64_t incarnation { 0 };
-    std::string availabilityZone;
-    std::string address;
-    uint16_t peerHttpPort { 0 };
-    bool isSelf { false };
-
-    bool operator==(PeerMember const&) const = default;
-};
-
-struct VersionChoice {
-    std::string version;
-    std::optional<unsigned> targetLimit;
-    std::string moveId;
-};
-
 /// FIXME: Stands in for ControlPlane (branch peers) with the same functions: one daemon, settings from a file.
 class Coordination {
 public:
@@ -41,6 +28,8 @@
     std::optional<Core::ErrorKind> refusal() const;
     VersionChoice versionFor(
         std::string_view service, std::string_view department, std::string_view route, double uniform) const;
+    void reportEvidence(Moves::Observation const&) { }
+    void reportCrash(CrashNotice const&) { }
     std::string zoneFor(std::string_view service, std::string_view zone, double uniform) const;
 
 private:
--- a/Services/comfreysaild/Daemon.cpp
+++ b/Services/comfreysaild/Daemon.cpp
@@ -1,10 +1,12 @@
 #include "Daemon.h"
 
 #include "CommandLine.h"
+#include <LibStore/HttpStore.h>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/strand.hpp>
 #include <csignal>
+#include <random>
 #include <thread>
 
 namespace Comfreysail::Daemon {
@@ -21,6 +23,7 @@
 constexpr auto shutdownPollInterval = std::chrono::milliseconds(20);
 // A request that is being received when the last running one ends still gets its refusal.
 constexpr auto lastRequestsGrace = std::chrono::milliseconds(100);
+constexpr auto claimFlushTimeout = std::chrono::seconds(5);
 constexpr unsigned ticksBetweenPoolSweeps = 100;
 
 HTTP::PoolOptions poolOptions(DaemonSettings const& settings)
@@ -31,6 +34,24 @@
     return options;
 }
 
+Store::StorePort storePort(DaemonSettings const& settings, asio::io_context& context, Store::MemoryStore& memoryStore)
+{
+    if (settings.settingsFile || !settings.platform)
+        return memoryStore.port();
+    Store::HttpStoreOptions options;
+    options.address = settings.platform->address;
+    options.port = settings.platform->port;
+    return Store::makeHttpStore(context.get_executor(), options);
+}
+
+/// Unique for each start of a daemon, so that it does not take rows of its predecessor for its own.
+std::string holderName(DaemonSettings const& settings)
+{
+    std::random_device random;
+    return settings.vmName + "-" + std::to_string(Core::toUnixMilliseconds(Core::wallNow())) + "-"
+        + std::to_string(random());
+}
+
 }
 
 Daemon::Daemon(DaemonSettings settings)
@@ -40,7 +61,9 @@
     , m_routing(m_coordination, m_settings)
     , m_pool(m_context, poolOptions(m_settings))
     , m_upstream(m_pool, m_settings.limits)
-    , m_services { m_settings, m_coordination, m_routing, m_upstream, m_retries, m_crashes, m_metrics }
+    , m_store(storePort(m_settings, m_context, m_memoryStore))
+    , m_claims(std::make_shared<ClaimGate>(m_store, holderName(m_settings)))
+    , m_services { m_settings, m_coordination, m_routing, m_upstream, m_retries, m_crashes, *m_claims, m_metrics }
     , m_handler(m_services)
     , m_admin(m_services, [this] { return isReady(); })
     , m_signals(m_context, SIGTERM, SIGINT)
@@ -125,6 +148,7 @@
         auto const now = Core::monotonicNow();
         m_routing.refresh(now);
         m_routing.tick(now);
+        m_claims->tick();
         if (tick % ticksBetweenPoolSweeps == 0)
             m_pool.closeExpired(now);
     }
@@ -165,6 +189,10 @@
     co_await pause(lastRequestsGrace);
     while (m_services.activeRequests > 0)
         co_await pause(shutdownPollInterval);
+    // The results of the last requests with a claim are still to be written.
+    auto const claimsUntil = Core::monotonicNow() + claimFlushTimeout;
+    while (!m_claims->isIdle() && Core::monotonicNow() < claimsUntil)
+        co_await pause(shutdownPollInterval);
     Telemetry::EventLine("shutdown_finished").logInfo();
     m_context.stop();
 }
--- a/Services/comfreysaild/Daemon.h
+++ b/Services/comfreysaild/Daemon.h
@@ -38,6 +38,9 @@
     UpstreamClient m_upstream;
     RetryTable m_retries;
     CrashTracker m_crashes;
+    Store::MemoryStore m_memoryStore; ///< Used when the settings tree comes from a file.
+    Store::StorePort m_store;
+    std::shared_ptr<ClaimGate> m_claims;
     Telemetry::MetricRegistry m_metrics;
     DaemonServices m_services;
     RequestHandler m_handler;
--- a/Services/comfreysaild/DaemonServices.h
+++ b/Services/comfreysaild/DaemonServices.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "ClaimGate.h"
 #include "Coordination.h"
 #include "CrashTracker.h"
 #include "DaemonSettings.h"
@@ -19,6 +20,7 @@
     UpstreamClient& upstream;
     RetryTable& retries;
     CrashTracker& crashes;
+    ClaimGate& claims;
     Telemetry::MetricRegistry& metrics;
     std::atomic<bool> refusesNewWork { false };
     std::atomic<unsigned> activeRequests { 0 };
--- a/Services/comfreysaild/ForwardedHeads.cpp
+++ b/Services/comfreysaild/ForwardedHeads.cpp
@@ -54,7 +54,10 @@
     bool const mustCorrectOutcome = mayHaveRunBefore && saysNotRun(head);
     HTTP::removeHopByHopFields(head.fields);
     head.fields.remove("Content-Length");
-    head.fields.remove(Core::Header::load);
+    if (context.origin == Origin::Caller) {
+        head.fields.remove(Core::Header::load);
+        head.fields.remove(targetHeader);
+    }
     head.fields.set(Core::Header::requestId, context.classification.requestId);
     if (mustCorrectOutcome)
         head.fields.set(Core::Header::outcome, Core::outcomeName(Core::RequestOutcome::Unknown));
--- a/Services/comfreysaild/ForwardedHeads.h
+++ b/Services/comfreysaild/ForwardedHeads.h
@@ -15,6 +15,10 @@
 /// the request may have run, so the response must not say "not-run".
 HTTP::ResponseHead headForCaller(RequestContext const&, HTTP::ResponseHead, bool mayHaveRunBefore);
 
+/// Response header from a home to the daemon that forwarded the request: the target that answered. With the load
+/// header it tells that daemon which targets are warm, should it have to take over.
+inline constexpr std::string_view targetHeader = "Comfreysail-Target";
+
 /// True when the response says that the request did not run.
 bool saysNotRun(HTTP::ResponseHead const&);
 
--- a/Services/comfreysaild/GroupChoice.cpp
+++ b/Services/comfreysaild/GroupChoice.cpp
@@ -90,6 +90,27 @@
     return choice;
 }
 
+namespace {
+
+/// A version that is only beginning to get traffic uses its first targets in name order.
+void excludeBeyondLimit(std::vector<std::string>& excluded, Settings::SettingsTree const& tree,
+    RequestContext const& context, GroupChoice const& choice)
+{
+    auto const* const service = tree.service(context.classification.service);
+    auto const version
+        = service ? service->versions.find(choice.version.version) : decltype(service->versions.end()) {};
+    if (!service || version == service->versions.end())
+        return;
+    std::vector<std::string> names;
+    for (auto const& target : version->second.targets)
+        names.push_back(target.name);
+    std::ranges::sort(names);
+    for (size_t index = *choice.version.targetLimit; index < names.size(); ++index)
+        excluded.push_back(names[index]);
+}
+
+}
+
 Routing::PickRequest pickRequestFor(
     DaemonServices& services, RequestContext const& context, GroupChoice const& choice, Core::Instant now)
 {
@@ -98,6 +119,8 @@
     request.idempotent = context.classification.isIdempotent;
     request.suspect = services.retries.isSuspect(context.fingerprint, now);
     request.excludedTargets = context.failedTargets;
+    if (choice.version.targetLimit)
+        excludeBeyondLimit(request.excludedTargets, *services.coordination.settings()->tree, context, choice);
     return request;
 }
 
--- a/Services/comfreysaild/GroupDispatcher.cpp
+++ b/Services/comfreysaild/GroupDispatcher.cpp
@@ -144,6 +144,12 @@
     dispatch(now);
 }
 
+void GroupDispatcher::observe(std::string const& target, Routing::TargetState state, Instant now)
+{
+    std::lock_guard const lock(m_mutex);
+    m_group.observe(target, state, now);
+}
+
 void GroupDispatcher::replaceTargets(std::vector<Routing::Target> targets, Instant now)
 {
     std::lock_guard const lock(m_mutex);
--- a/Services/comfreysaild/GroupDispatcher.h
+++ b/Services/comfreysaild/GroupDispatcher.h
@@ -41,6 +41,9 @@
     /// Ends an admitted request and lets the next ones go.
     void finish(Dispatched const&, Core::Instant now);
 
+    /// Learns from an answer that another daemon dispatched.
+    void observe(std::string const& target, Routing::TargetState, Core::Instant now);
+
     void replaceTargets(std::vector<Routing::Target>, Core::Instant now);
     void setMode(Routing::DispatchMode, Core::Instant now);
     /// Taking the zone out refuses the requests that wait (NoTargetAvailable).
--- a/Services/comfreysaild/HomeHop.cpp
+++ b/Services/comfreysaild/HomeHop.cpp
@@ -59,6 +59,10 @@
         context.mayHaveRun = mayHaveRunBefore;
         co_return ForwardEnd { Kind::TryElsewhere, { ErrorKind::HomeUnavailable, "the home refuses work" } };
     }
+    auto const target = upstream.head.fields.find(targetHeader);
+    auto const hint = Routing::parseLoadHint(upstream.head.fields.find(Core::Header::load).value_or(""));
+    if (target && hint.state)
+        choice.dispatcher->observe(std::string(*target), *hint.state, Core::monotonicNow());
     if (context.classification.routeClass == Settings::RouteClass::Download)
         context.deadlineWatchdog->disarm();
     auto callerHead = headForCaller(context, upstream.head, mayHaveRunBefore);
--- a/Services/comfreysaild/Precompiled.h
+++ b/Services/comfreysaild/Precompiled.h
@@ -3,11 +3,13 @@
 // Compiled once for the program: Asio and the library headers take several seconds in every file.
 
 #include <LibAdmission/Admission.h>
+#include <LibClaims/Claims.h>
 #include <LibCore/Core.h>
 #include <LibHTTP/HTTP.h>
 #include <LibRetry/Retry.h>
 #include <LibRouting/Routing.h>
 #include <LibSettings/Settings.h>
+#include <LibStore/Store.h>
 #include <LibTelemetry/Telemetry.h>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
--- a/Services/comfreysaild/RequestContext.h
+++ b/Services/comfreysaild/RequestContext.h
@@ -2,6 +2,7 @@
 
 #include "RequestClassification.h"
 #include "StopSignal.h"
+#include <LibClaims/Claims.h>
 #include <LibHTTP/HTTP.h>
 #include <memory>
 #include <string>
@@ -39,6 +40,8 @@
     std::vector<std::string> failedTargets;
     std::vector<std::string> failedHomes;
     std::vector<std::string> failedZones;
+    std::optional<Claims::ClaimToken> claim; ///< Held by this request.
+    Core::WallTime claimStartBy {};
     uint32_t draw { 0 }; ///< Drawn once, so that a retry stays on its version.
 
     Core::Instant deadline() const { return classification.deadline; }
--- a/Services/comfreysaild/RequestHandler.cpp
+++ b/Services/comfreysaild/RequestHandler.cpp
@@ -69,6 +69,7 @@
     }
     m_services.retries.noteCall(context.classification.service, context.classification.settings.retryPercent);
     auto const end = co_await forward(context);
+    m_services.claims.settle(context);
     if (end.kind == Kind::Answered)
         recordEnd(context, nullptr);
     else
@@ -113,7 +114,8 @@
         if (isError(chosen))
             co_return round == 0 ? ForwardEnd { Kind::Refused, errorOf(chosen) } : last;
         auto const& choice = valueOf(chosen);
-        bool const goesToHome = choice.home && context.classification.hops < maxHops
+        // A claim belongs to this daemon, so the request stays here once it has one.
+        bool const goesToHome = choice.home && !context.claim && context.classification.hops < maxHops
             && std::ranges::find(context.failedHomes, choice.home->name) == context.failedHomes.end();
         if (goesToHome) {
             last = co_await forwardToHome(m_services, context, choice);
--- a/Services/comfreysaild/TargetSender.cpp
+++ b/Services/comfreysaild/TargetSender.cpp
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr unsigned firstServerErrorStatus = 500;
+constexpr std::string_view repeatedSendBody = "The request ran earlier and ended with this status.\n";
 
 SendOutcome outcomeOf(ErrorKind kind)
 {
@@ -35,6 +36,24 @@
     }
 }
 
+Moves::Outcome evidenceOf(SendOutcome outcome)
+{
+    switch (outcome) {
+    case SendOutcome::Answered:
+        return Moves::Outcome::Success;
+    case SendOutcome::ServerError:
+    case SendOutcome::TimedOut:
+        return Moves::Outcome::Failure;
+    case SendOutcome::ConnectFailed:
+    case SendOutcome::ConnectionLost:
+        return Moves::Outcome::Lost;
+    case SendOutcome::Shed:
+    case SendOutcome::Cancelled:
+        break;
+    }
+    return Moves::Outcome::Ignored;
+}
+
 Routing::LoadHint loadHintOf(HTTP::ResponseHead const& head)
 {
     return Routing::parseLoadHint(head.fields.find(Core::Header::load).value_or(""));
@@ -49,7 +68,8 @@
 
 Core::WallTime startByOf(RequestContext const& context, Core::Instant now)
 {
-    return Core::wallNow() + std::chrono::floor<std::chrono::milliseconds>(context.deadline() - now);
+    auto const startBy = Core::wallNow() + std::chrono::floor<std::chrono::milliseconds>(context.deadline() - now);
+    return context.claim ? std::min(startBy, context.claimStartBy) : startBy;
 }
 
 }
@@ -69,11 +89,48 @@
         co_return ForwardEnd { kind, error };
     }
     auto dispatched = takeValue(std::move(admitted));
+    auto const refusal = co_await acquireClaim(context);
+    if (refusal) {
+        choice.dispatcher->noteSendEnded(dispatched, SendOutcome::Cancelled, {}, Core::monotonicNow());
+        choice.dispatcher->finish(dispatched, Core::monotonicNow());
+        co_return *refusal;
+    }
     auto end = co_await sendUntilDecided(context, choice, dispatched);
     choice.dispatcher->finish(dispatched, Core::monotonicNow());
     co_return end;
 }
 
+awaitable<std::optional<ForwardEnd>> TargetSender::acquireClaim(RequestContext& context)
+{
+    if (!needsClaim(context) || context.claim)
+        co_return std::nullopt;
+    auto const answer = co_await m_services.claims.acquire(context);
+    if (std::holds_alternative<Claims::ClaimGranted>(answer))
+        co_return std::nullopt;
+    if (auto const* const error = std::get_if<Error>(&answer)) {
+        bool const mayGoWithout = error->kind == ErrorKind::ClaimStoreUnavailable
+            && context.classification.settings.ordersWhenStoreDown == Settings::OrdersWhenStoreDown::TargetDeduplicates;
+        if (mayGoWithout)
+            co_return std::nullopt;
+        co_return ForwardEnd { Kind::Refused, *error };
+    }
+    HTTP::ResponseHead head;
+    head.status = std::get<Claims::StoredStatus>(answer).status;
+    head.fields.add(Core::Header::requestId, context.classification.requestId);
+    co_await context.exchange.respond(std::move(head), repeatedSendBody);
+    co_return ForwardEnd {};
+}
+
+void TargetSender::noteClaim(RequestContext const& context, Error const& error, bool mayHaveRun)
+{
+    if (!context.claim)
+        return;
+    if (mayHaveRun && error.kind != ErrorKind::TargetShedRequest)
+        m_services.claims.note(context, Claims::SendOutcomeUnknown {});
+    else
+        m_services.claims.note(context, Claims::SendDidNotRun {});
+}
+
 awaitable<ForwardEnd> TargetSender::sendUntilDecided(
     RequestContext& context, GroupChoice const& choice, Dispatched& dispatched)
 {
@@ -81,6 +138,9 @@
         auto end = co_await sendOnce(context, choice, dispatched);
         if (end.kind == Kind::Answered || context.stopSignal.reason())
             co_return end;
+        // The failed send may have been the crash that decides.
+        if (m_services.retries.isRefused(context.fingerprint, Core::monotonicNow()))
+            co_return ForwardEnd { Kind::Refused, { ErrorKind::RequestQuarantined, {} } };
         auto const decision = decideRetry(context, end.error);
         if (!decision.shouldRetry)
             co_return end;
@@ -115,16 +175,35 @@
         auto const kind = errorOf(result).kind;
         if (kind == ErrorKind::ConnectionLost)
             noteCrash(crashSend, now);
+        reportEvidence(context, choice, dispatched, outcomeOf(kind), {});
         choice.dispatcher->noteSendEnded(dispatched, outcomeOf(kind), {}, now);
     }
     m_services.crashes.noteEnded(crashSend);
     co_return result;
 }
 
+void TargetSender::reportEvidence(RequestContext const& context, GroupChoice const& choice,
+    Dispatched const& dispatched, SendOutcome outcome, Routing::LoadHint const& hint)
+{
+    Moves::Observation observation;
+    observation.service = context.classification.service;
+    observation.version = choice.version.version;
+    observation.route = context.classification.routeName;
+    observation.availabilityZone = choice.group.availabilityZone;
+    observation.target = dispatched.pick.target;
+    observation.outcome = evidenceOf(outcome);
+    observation.latency = Core::monotonicNow() - dispatched.sentAt;
+    observation.isCold = hint.state == Routing::TargetState::Cold;
+    observation.isLoaded = hint.inFlight && hint.limit && *hint.inFlight >= *hint.limit;
+    m_services.coordination.reportEvidence(observation);
+}
+
 void TargetSender::noteCrash(CrashTracker::Send const& send, Core::Instant now)
 {
-    for (auto const fingerprint : m_services.crashes.noteCrashed(send))
+    for (auto const fingerprint : m_services.crashes.noteCrashed(send)) {
         m_services.retries.noteCrash({ fingerprint, send.instance }, now);
+        m_services.coordination.reportCrash({ fingerprint, send.instance });
+    }
 }
 
 awaitable<Error> TargetSender::takeShedResponse(RequestContext& context, Upstream& upstream)
@@ -151,18 +230,32 @@
     ++context.attempt;
     bool const mayHaveRunBefore = context.mayHaveRun;
     auto const now = Core::monotonicNow();
+    if (context.claim) {
+        auto const started = m_services.claims.noteSendStarted(context);
+        if (isError(started)) {
+            choice.dispatcher->noteSendEnded(dispatched, SendOutcome::Cancelled, {}, now);
+            co_return ForwardEnd { Kind::Refused, errorOf(started) };
+        }
+    }
+    context.mayHaveRun = false;
     auto head = headForTarget(context, startByOf(context, now), now);
     auto sent = co_await sendTo(context, choice, dispatched, std::move(head));
-    if (isError(sent))
+    bool const mayHaveRun = std::exchange(context.mayHaveRun, context.mayHaveRun || mayHaveRunBefore);
+    if (isError(sent)) {
+        noteClaim(context, errorOf(sent), mayHaveRun);
         co_return ForwardEnd { Kind::Refused, errorOf(sent) };
+    }
     auto upstream = takeValue(std::move(sent));
     auto const hint = loadHintOf(upstream.head);
     if (isShed(upstream.head)) {
         auto error = co_await takeShedResponse(context, upstream);
         context.mayHaveRun = mayHaveRunBefore;
+        noteClaim(context, error, false);
         choice.dispatcher->noteSendEnded(dispatched, SendOutcome::Shed, hint, Core::monotonicNow());
         co_return ForwardEnd { Kind::Refused, std::move(error) };
     }
+    if (context.claim)
+        m_services.claims.note(context, Claims::AnswerReceived { upstream.head.status });
     m_services.retries.noteAnswered(context.fingerprint, Core::monotonicNow());
     auto const status = upstream.head.status;
     // Downloads may take longer than any deadline that makes sense for the head; a stalled body still ends them.
@@ -171,6 +264,7 @@
     auto resumeBody = [&](Upstream& lost, ResumableBody const& rest) -> awaitable<bool> {
         return resume(context, choice, dispatched, lost, rest);
     };
+    upstream.head.fields.set(targetHeader, dispatched.pick.target);
     auto callerHead = headForCaller(context, upstream.head, mayHaveRunBefore);
     auto const end = co_await relayResponse(context, m_services.upstream, upstream, std::move(callerHead), resumeBody);
     auto outcome = status >= firstServerErrorStatus ? SendOutcome::ServerError : SendOutcome::Answered;
@@ -179,6 +273,7 @@
     else if (end == RelayEnd::CallerGone)
         outcome = context.stopSignal.reason() == ErrorKind::DeadlineExceeded ? SendOutcome::TimedOut
                                                                              : SendOutcome::Cancelled;
+    reportEvidence(context, choice, dispatched, outcome, hint);
     choice.dispatcher->noteSendEnded(dispatched, outcome, hint, Core::monotonicNow());
     co_return ForwardEnd {};
 }
--- a/Services/comfreysaild/TargetSender.h
+++ b/Services/comfreysaild/TargetSender.h
@@ -26,6 +26,7 @@
     HTTP::awaitable<ForwardEnd> run(RequestContext&, GroupChoice const&);
 
 private:
+    HTTP::awaitable<std::optional<ForwardEnd>> acquireClaim(RequestContext&);
     HTTP::awaitable<ForwardEnd> sendUntilDecided(RequestContext&, GroupChoice const&, Dispatched&);
     HTTP::awaitable<ForwardEnd> sendOnce(RequestContext&, GroupChoice const&, Dispatched&);
     HTTP::awaitable<Core::Result<Upstream>> sendTo(RequestContext&, GroupChoice const&, Dispatched&, HTTP::RequestHead);
@@ -33,6 +34,9 @@
     HTTP::awaitable<bool> resume(RequestContext&, GroupChoice const&, Dispatched&, Upstream&, ResumableBody const&);
     Retry::RetryDecision decideRetry(RequestContext const&, Core::Error const&);
     bool hasOtherZone(RequestContext&, GroupChoice const&);
+    void noteClaim(RequestContext const&, Core::Error const&, bool mayHaveRun);
+    void reportEvidence(
+        RequestContext const&, GroupChoice const&, Dispatched const&, Routing::SendOutcome, Routing::LoadHint const&);
     void noteCrash(CrashTracker::Send const&, Core::Instant now);
 
     DaemonServices& m_services;
--- /dev/null
+++ b/Tests/Support/DaemonProcess.cpp
@@ -0,0 +1,183 @@
+#include "DaemonProcess.h"
+
+#include <array>
+#include <csignal>
+#include <cstdlib>
+#include <cstring>
+#include <fcntl.h>
+#include <fstream>
+#include <iterator>
+#include <stdexcept>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+
+namespace Comfreysail::Tests {
+
+namespace {
+
+constexpr auto pollInterval = std::chrono::milliseconds(10);
+constexpr auto startTimeout = std::chrono::seconds(10);
+std::string const program = COMFREYSAIL_BIN_DIR "/comfreysaild";
+
+std::string readFile(std::filesystem::path const& path)
+{
+    std::ifstream stream(path, std::ios::binary);
+    return { std::istreambuf_iterator<char>(stream), {} };
+}
+
+std::string treeText(DaemonOptions const& options)
+{
+    std::string text = "[departments.civil]\n[departments.appeals]\n"
+                       "[availability_zones.pos-hall]\nstate = \"in\"\nregion = \"tt\"\n"
+                       "[availability_zones.arima]\nstate = \"in\"\nregion = \"tt\"\n"
+                       "[services.orders]\nhosts = [\"orders.test\"]\nversion = \"v1\"\n"
+        + options.serviceSettings
+        + "\n[services.orders.routes]\n"
+          "lookup = { method = \"GET\", path_prefix = \"/\", class = \"lookup\", idempotent = true }\n"
+          "files = { method = \"GET\", path_prefix = \"/files\", class = \"download\", idempotent = true }\n"
+          "order = { method = \"POST\", path_prefix = \"/\", class = \"order\", idempotent = false }\n"
+          "put = { method = \"PUT\", path_prefix = \"/\", class = \"order\", idempotent = true }\n"
+          "[services.orders.versions.v1]\ntargets = [\n";
+    unsigned number = 0;
+    for (auto const& target : options.targets) {
+        text += "{ name = \"t" + std::to_string(++number)
+            + "\", address = \"127.0.0.1\", port = " + std::to_string(target.port) + ", availability_zone = \""
+            + target.availabilityZone + "\", slots = " + std::to_string(target.slots) + " },\n";
+    }
+    return text + "]\n" + options.treeAdditions;
+}
+
+std::string settingsText(DaemonOptions const& options)
+{
+    std::string text = "vm_name = \"entry-1\"\navailability_zone = \"pos-hall\"\nsettings_file = \"tree.toml\"\n"
+                       "balancer_lag_ms = "
+        + std::to_string(options.balancerLagMilliseconds) + "\n";
+    for (auto const* listener : { "caller", "peer", "admin", "control" })
+        text += "[" + std::string(listener) + "]\naddress = \"127.0.0.1\"\nport = 0\n";
+    return text + "[limits]\n" + options.limits + "\n";
+}
+
+/// Starts the program with its output in a file. The child calls only functions that are safe after fork().
+int startProgram(std::vector<std::string> const& arguments, std::filesystem::path const& output)
+{
+    std::vector<char*> pointers { const_cast<char*>(program.c_str()) };
+    for (auto const& argument : arguments)
+        pointers.push_back(const_cast<char*>(argument.c_str()));
+    pointers.push_back(nullptr);
+    auto const outputPath = output.string();
+    int const process = ::fork();
+    if (process != 0)
+        return process;
+    int const descriptor = ::open(outputPath.c_str(), O_CREAT | O_WRONLY | O_APPEND, 0600);
+    ::dup2(descriptor, STDOUT_FILENO);
+    ::dup2(descriptor, STDERR_FILENO);
+    ::execv(program.c_str(), pointers.data());
+    ::_exit(127);
+}
+
+}
+
+std::filesystem::path makeTemporaryFolder()
+{
+    std::string pattern = (std::filesystem::temp_directory_path() / "comfreysail-XXXXXX").string();
+    if (!::mkdtemp(pattern.data()))
+        throw std::runtime_error("cannot make a temporary folder");
+    return pattern;
+}
+
+DaemonProcess::DaemonProcess(DaemonOptions const& options)
+    : m_folder(makeTemporaryFolder())
+{
+    std::ofstream(m_folder / "tree.toml") << treeText(options);
+    std::ofstream(m_folder / "daemon.toml") << settingsText(options);
+    m_process = startProgram({ "--settings", (m_folder / "daemon.toml").string() }, m_folder / "log");
+    auto const deadline = std::chrono::steady_clock::now() + startTimeout;
+    while (log().find("event=started") == std::string::npos || !log().ends_with("\n")) {
+        if (std::chrono::steady_clock::now() > deadline || ::waitpid(m_process, nullptr, WNOHANG) != 0)
+            throw std::runtime_error("comfreysaild did not start: " + log());
+        std::this_thread::sleep_for(pollInterval);
+    }
+    m_callerPort = portFromLog("caller_port=");
+    m_peerPort = portFromLog("peer_port=");
+    m_adminPort = portFromLog("admin_port=");
+    while (admin("/ready").status() != 200) {
+        if (std::chrono::steady_clock::now() > deadline)
+            throw std::runtime_error("comfreysaild is not ready: " + log());
+        std::this_thread::sleep_for(pollInterval);
+    }
+}
+
+DaemonProcess::~DaemonProcess()
+{
+    if (m_process > 0) {
+        ::kill(m_process, SIGKILL);
+        ::waitpid(m_process, nullptr, 0);
+    }
+    std::error_code ignored;
+    std::filesystem::remove_all(m_folder, ignored);
+}
+
+std::string DaemonProcess::log() const { return readFile(m_folder / "log"); }
+
+uint16_t DaemonProcess::portFromLog(std::string const& key) const
+{
+    auto const text = log();
+    return static_cast<uint16_t>(std::stoul(text.substr(text.find(key) + key.size())));
+}
+
+RawResponse DaemonProcess::call(std::string const& request) const
+{
+    auto connection = connect();
+    connection.send(request);
+    return connection.readResponse();
+}
+
+RawResponse DaemonProcess::admin(std::string const& path) const
+{
+    auto connection = RawConnection::connectTo(m_adminPort);
+    connection.send("GET " + path + " HTTP/1.1\r\nHost: admin\r\n\r\n");
+    return connection.readResponse();
+}
+
+size_t DaemonProcess::residentKilobytes() const
+{
+    auto const status = readFile("/proc/" + std::to_string(m_process) + "/status");
+    return std::stoul(status.substr(status.find("VmRSS:") + std::strlen("VmRSS:")));
+}
+
+void DaemonProcess::terminate() const { ::kill(m_process, SIGTERM); }
+
+int DaemonProcess::waitForExit(std::chrono::milliseconds timeout)
+{
+    auto const deadline = std::chrono::steady_clock::now() + timeout;
+    int status = 0;
+    while (::waitpid(m_process, &status, WNOHANG) == 0) {
+        if (std::chrono::steady_clock::now() > deadline)
+            return -1;
+        std::this_thread::sleep_for(pollInterval);
+    }
+    m_process = -1;
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+std::string request(
+    std::string const& method, std::string const& path, std::string const& fields, std::string const& body)
+{
+    auto const length = body.empty() ? std::string() : "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    return method + " " + path + " HTTP/1.1\r\nHost: orders.test\r\nComfreysail-Department: civil\r\n" + fields + length
+        + "\r\n" + body;
+}
+
+FinishedProcess runDaemonProgram(std::vector<std::string> const& arguments)
+{
+    auto const folder = makeTemporaryFolder();
+    int const process = startProgram(arguments, folder / "output");
+    int status = 0;
+    ::waitpid(process, &status, 0);
+    FinishedProcess result { WIFEXITED(status) ? WEXITSTATUS(status) : -1, readFile(folder / "output") };
+    std::filesystem::remove_all(folder);
+    return result;
+}
+
+}
--- /dev/null
+++ b/Tests/Support/ScriptedTarget.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "RawConnection.h"
+#include <atomic>
+#include <functional>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+namespace Comfreysail::Tests {
+
+/// A target whose behaviour a test writes down: the script runs once for each request head that arrives, and sends
+/// whatever it wants. The connection ends when the script returns false.
+class ScriptedTarget {
+public:
+    using Script = std::function<bool(RawConnection&, std::string const& head)>;
+
+    explicit ScriptedTarget(Script);
+    ~ScriptedTarget();
+    ScriptedTarget(ScriptedTarget const&) = delete;
+    ScriptedTarget& operator=(ScriptedTarget const&) = delete;
+
+    uint16_t port() const { return m_listener.port; }
+    unsigned requests() const { return m_requests; }
+    unsigned connections() const { return m_connections; }
+    std::vector<std::string> heads() const;
+
+private:
+    void acceptLoop();
+    void serve(RawConnection);
+
+    Script m_script;
+    Listener m_listener;
+    std::atomic<unsigned> m_requests { 0 };
+    std::atomic<unsigned> m_connections { 0 };
+    mutable std::mutex m_mutex;
+    std::vector<std::string> m_heads;
+    std::vector<std::jthread> m_threads;
+    std::jthread m_acceptThread;
+};
+
+/// A whole response with Content-Length.
+std::string wholeResponse(
+    std::string const& body, std::string const& extraFields = {}, std::string const& status = "200 OK");
+
+}
