Tests: Hold the capacity while queued deadlines pass

All six requests had the same timeout, so a request that arrived a little later was admitted when the first one timed out, which is allowed.

Change: two requests with a long timeout use up the capacity, and the four queued ones must all be refused as not-run and never reach the target.

Conclusion: the check is stricter than before and no longer depends on timing.

--- a/Tests/comfreysaild/TestLifecycle.cpp
+++ b/Tests/comfreysaild/TestLifecycle.cpp
@@ -126,20 +126,29 @@
         return true;
     });
     DaemonProcess const daemon({ .targets = { { target.port(), 1 } } });
-    std::vector<RawConnection> connections;
-    for (int number = 0; number < 6; ++number) {
-        connections.push_back(daemon.connect());
-        connections.back().send(request("GET", "/queued", "Comfreysail-Timeout-Ms: 300\r\n"));
-    }
-    unsigned refused = 0;
-    for (auto& connection : connections) {
+    auto send = [&](std::string const& timeout) {
+        auto connection = daemon.connect();
+        connection.send(request("GET", "/queued", "Comfreysail-Timeout-Ms: " + timeout + "\r\n"));
+        return connection;
+    };
+    // One request for the slot and one ahead of it, or queued first while the target is cold, use up the capacity for
+    // the whole test.
+    std::vector<RawConnection> running;
+    running.push_back(send("20000"));
+    REQUIRE(eventually([&] { return target.requests() == 1; }));
+    running.push_back(send("20000"));
+    std::vector<RawConnection> queued;
+    for (int number = 0; number < 4; ++number)
+        queued.push_back(send("300"));
+    for (auto& connection : queued) {
         auto const response = connection.readResponse();
         CHECK(response.status() == 504);
-        refused += response.field("Comfreysail-Outcome") == "not-run" ? 1 : 0;
+        CHECK(response.field("Comfreysail-Outcome") == "not-run");
     }
     mayAnswer = true;
-    CHECK(refused >= 4);
-    CHECK(target.requests() + refused == 6);
+    for (auto& connection : running)
+        CHECK(connection.readResponse().status() == 200);
+    CHECK(target.requests() == 2);
 }
 
 TEST_CASE("a graceful shutdown interrupts no request and refuses later ones as not-run", "[Shutdown]")
