Meta: Share clean linter runs between work trees

Cause: each work tree ran the linter on every file of every merge, and the machine's load rose to 31 on 10 cores.

Change: a clean run is remembered by the content of the file and of all repository files that it includes.

Conclusion: unchanged files are linted once on a machine.

--- a/Meta/lint.sh
+++ b/Meta/lint.sh
@@ -1,12 +1,14 @@
 #!/usr/bin/env bash
 # Runs clang-tidy on every source file that people write. A file is skipped when it and every file of the repository
-# that it includes are unchanged since its last clean run; the compiler's dependency list tells what it includes.
+# that it includes had the same content in an earlier clean run; the compiler's dependency list tells what it includes.
+# Clean runs are remembered by content, so that several work trees share them as they share the compiler cache.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 source Meta/common.sh
 
 export lint_cache="$build_directory/lint"
-mkdir -p "$lint_cache"
+export clean_runs="${COMFREYSAIL_LINT_CACHE:-$HOME/.cache/comfreysail-lint}"
+mkdir -p "$lint_cache" "$clean_runs"
 
 # clang-tidy cannot read GCC's precompiled headers, so it reads the plain headers instead.
 sed 's/-Winvalid-pch//; s/-include [^ ]*cmake_pch\.hxx//' "$build_directory/compile_commands.json" \
@@ -27,19 +29,19 @@
 
 lint_file() {
     local file="$1"
-    local stamp="$lint_cache/${file//\//_}"
+    local errors="$lint_cache/${file//\//_}.errors"
     local key
     key="$(awk -F'\t' -v file="$file" '$1 == file { print $2 }' "$lint_cache/dependencies" |
-        xargs -r cat .clang-tidy "$file" | sha256sum)"
-    if [ -f "$stamp" ] && [ "$(cat "$stamp")" = "$key" ]; then
+        xargs -r cat .clang-tidy "$file" | sha256sum | cut -d' ' -f1)"
+    if [ -f "$clean_runs/$key" ]; then
         return 0
     fi
-    if clang-tidy -p "$lint_cache" --quiet "$file" >"$stamp.errors" 2>/dev/null; then
-        echo "$key" >"$stamp"
-        rm -f "$stamp.errors"
+    if clang-tidy -p "$lint_cache" --quiet "$file" >"$errors" 2>/dev/null; then
+        touch "$clean_runs/$key"
+        rm -f "$errors"
     else
         echo "lint: $file failed" >&2
-        cat "$stamp.errors" >&2
+        cat "$errors" >&2
         return 1
     fi
 }
