--- /dev/null
+++ b/Libraries/LibStore/HttpCaller.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <LibCore/Result.h>
+#include <LibCore/Time.h>
+#include <LibStore/HttpStoreOptions.h>
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/beast/http/verb.hpp>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace Comfreysail::Store {
+
+struct StoreConnection;
+
+/// Sends HTTP requests to one address over kept-alive connections. The operators' tool calls daemons with it too.
+class HttpCaller : public std::enable_shared_from_this<HttpCaller> {
+public:
+    struct Request {
+        boost::beast::http::verb method;
+        std::string target;
+        std::string body;
+        bool isWrite { false };
+        Core::Instant deadline;
+    };
+
+    struct Answer {
+        unsigned status { 0 };
+        std::string body;
+    };
+
+    HttpCaller(boost::asio::any_io_executor, HttpStoreOptions);
+    ~HttpCaller();
+
+    /// Errors: StoreUnavailable, and StoreOutcomeUnknown for a write of which a byte may have arrived. A
+    /// status of 500 or above counts as such an error too.
+    void send(Request, std::function<void(Core::Result<Answer>)>);
+
+private:
+    using ConnectionPointer = std::unique_ptr<StoreConnection>;
+
+    boost::asio::awaitable<Core::Result<Answer>> exchange(ConnectionPointer, Request const&);
+    boost::asio::awaitable<Core::Result<Answer>> exchangeOn(StoreConnection&, Request const&, bool& mayHaveArrived);
+    ConnectionPointer takeIdle();
+    void giveBack(ConnectionPointer);
+
+    boost::asio::any_io_executor m_executor;
+    HttpStoreOptions m_options;
+    std::mutex m_mutex; ///< Guards m_idle; not held across a socket operation.
+    std::vector<ConnectionPointer> m_idle;
+};
+
+}
