--- a/Benchmarks/Routing/Main.cpp
+++ b/Benchmarks/Routing/Main.cpp
@@ -1,4 +1,5 @@
 #include "CostTable.h"
+#include "ProcessorCost.h"
 #include <LibRouting/MeasurementBudget.h>
 #include <Replay/DirectPolicy.h>
 #include <Replay/FallbackPolicy.h>
@@ -124,8 +125,10 @@
                 goal[index] = outcome;
         }
     }
-    if (onlyScenario.empty() && onlyPolicy.empty())
+    if (onlyScenario.empty() && onlyPolicy.empty()) {
         printCostTable();
+        printProcessorCost();
+    }
     // A run of only some scenarios or policies has nothing to compare.
     if (goal[homesIndex].policy.empty() || goal[boundIndex].policy.empty() || goal[powerOfTwoIndex].policy.empty())
         return 0;
