comfreysaild: Take settings, members and moves from the control plane

Cause: settings and members came from a stand-in for one daemon.

Change: ControlPlane replaces the stand-in; settings_file fills a store in memory that the control plane reads as it reads the platform. LoadExchange sends load reports to sibling homes, and a home under pressure spills requests to them. A target gets the call depth raised by one, because it copies the header into its own calls. Peer and control ports can no longer be 0.

Found by the tests: the daemon was ready before its routing table had the first settings, so the first requests were refused.

Conclusion: spill has no contract test on real processes yet.

--- a/Libraries/LibHTTP/ClientConnection.cpp
+++ b/Libraries/LibHTTP/ClientConnection.cpp
@@ -22,10 +22,10 @@
 
 }
 
-ClientConnection::ClientConnection(asio::any_io_executor executor, Endpoint endpoint, ReadLimits limits)
+ClientConnection::ClientConnection(asio::any_io_executor const& executor, Endpoint endpoint, ReadLimits limits)
     : m_endpoint(std::move(endpoint))
     , m_limits(limits)
-    , m_stream(tcp::socket(std::move(executor)))
+    , m_stream(tcp::socket(executor))
 {
 }
 
@@ -54,7 +54,7 @@
     co_return !error;
 }
 
-void ClientConnection::spawn(std::function<awaitable<void>()> sender, asio::any_io_executor executor)
+void ClientConnection::spawn(std::function<awaitable<void>()> sender, asio::any_io_executor const& executor)
 {
     m_isSending = true;
     m_senderDone = std::make_shared<asio::steady_timer>(executor, asio::steady_timer::time_point::max());
--- a/Libraries/LibHTTP/ClientConnection.h
+++ b/Libraries/LibHTTP/ClientConnection.h
@@ -26,7 +26,7 @@
 /// A connection to a target or to another daemon. One exchange at a time, all on the strand of one session.
 class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
 public:
-    ClientConnection(asio::any_io_executor, Endpoint, ReadLimits);
+    ClientConnection(asio::any_io_executor const&, Endpoint, ReadLimits);
 
     Endpoint const& endpoint() const { return m_endpoint; }
 
@@ -70,7 +70,7 @@
     awaitable<bool> write(std::string_view, std::string_view = {}, std::string_view = {});
     awaitable<void> sendBody(std::shared_ptr<std::string const>);
     awaitable<void> sendFrom(BodySource, bool chunked);
-    void spawn(std::function<awaitable<void>()>, asio::any_io_executor);
+    void spawn(std::function<awaitable<void>()>, asio::any_io_executor const&);
 
     Endpoint m_endpoint;
     ReadLimits m_limits;
--- a/Libraries/LibHTTP/ConnectionPool.cpp
+++ b/Libraries/LibHTTP/ConnectionPool.cpp
@@ -64,7 +64,7 @@
         entry.idle.erase(entry.idle.begin());
 }
 
-void ConnectionPool::discard(std::shared_ptr<ClientConnection> connection, bool wasUnresponsive)
+void ConnectionPool::discard(std::shared_ptr<ClientConnection> const& connection, bool wasUnresponsive)
 {
     connection->close();
     if (!wasUnresponsive)
--- a/Libraries/LibHTTP/ConnectionPool.h
+++ b/Libraries/LibHTTP/ConnectionPool.h
@@ -40,7 +40,7 @@
 
     /// Ends an exchange without a complete response: the connection is closed. When the reason was silence, older
     /// connections to the endpoint are not used until a newer one has worked, and then they are closed.
-    void discard(std::shared_ptr<ClientConnection>, bool wasUnresponsive);
+    void discard(std::shared_ptr<ClientConnection> const&, bool wasUnresponsive);
 
     void closeExpired(Core::Instant now);
     void closeAll();
--- a/Libraries/LibHTTP/MessageReader.cpp
+++ b/Libraries/LibHTTP/MessageReader.cpp
@@ -85,12 +85,13 @@
         while (!beast->is_done()) {
             auto const available = stream.received.data();
             if (!available.empty()) {
-                auto& body = beast->get().body();
+                auto& parser = *beast;
+                auto& body = parser.get().body();
                 body.data = into.data();
                 body.size = into.size();
                 body.more = true;
                 ErrorCode error;
-                auto const used = beast->put(asio::buffer(available.data(), available.size()), error);
+                auto const used = parser.put(asio::buffer(available.data(), available.size()), error);
                 stream.received.consume(used);
                 if (error && error != http::error::need_buffer && error != http::error::need_more)
                     co_return Error { KindOfError<kind>::malformed, error.message() };
@@ -110,7 +111,8 @@
 
     void copyFields(Fields& fields) const
     {
-        for (auto const& field : beast->get().base()) {
+        auto const& parser = *beast;
+        for (auto const& field : parser.get().base()) {
             auto const name = field.name_string();
             auto const value = field.value();
             fields.add({ name.data(), name.size() }, { value.data(), value.size() });
--- a/Libraries/LibHTTP/Server.cpp
+++ b/Libraries/LibHTTP/Server.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
+#include <boost/asio/write.hpp>
 
 namespace Comfreysail::HTTP {
 
@@ -232,7 +233,7 @@
         session->closeIfIdle();
 }
 
-void Server::addSession(std::shared_ptr<Session> session)
+void Server::addSession(std::shared_ptr<Session> const& session)
 {
     std::lock_guard const lock(m_mutex);
     m_sessions.emplace(session.get(), session);
--- a/Libraries/LibHTTP/Server.h
+++ b/Libraries/LibHTTP/Server.h
@@ -40,7 +40,7 @@
 
     Server(asio::io_context&, ServerOptions, Handler);
     awaitable<void> acceptLoop();
-    void addSession(std::shared_ptr<Session>);
+    void addSession(std::shared_ptr<Session> const&);
     void removeSession(Session const*);
 
     asio::io_context& m_context;
--- a/Libraries/LibHTTP/Watchdog.cpp
+++ b/Libraries/LibHTTP/Watchdog.cpp
@@ -4,13 +4,13 @@
 
 namespace Comfreysail::HTTP {
 
-std::shared_ptr<Watchdog> Watchdog::create(asio::any_io_executor strand)
+std::shared_ptr<Watchdog> Watchdog::create(asio::any_io_executor const& strand)
 {
-    return std::shared_ptr<Watchdog>(new Watchdog(std::move(strand)));
+    return std::shared_ptr<Watchdog>(new Watchdog(strand));
 }
 
-Watchdog::Watchdog(asio::any_io_executor strand)
-    : m_timer(std::move(strand))
+Watchdog::Watchdog(asio::any_io_executor const& strand)
+    : m_timer(strand)
 {
 }
 
--- a/Libraries/LibHTTP/Watchdog.h
+++ b/Libraries/LibHTTP/Watchdog.h
@@ -13,14 +13,14 @@
 /// a lock and a system call for each request. All calls and the expiry run on one strand.
 class Watchdog : public std::enable_shared_from_this<Watchdog> {
 public:
-    static std::shared_ptr<Watchdog> create(asio::any_io_executor strand);
+    static std::shared_ptr<Watchdog> create(asio::any_io_executor const& strand);
 
     /// Replaces the deadline. `onExpiry` runs once, on the strand, and must not keep the watchdog's owner alive.
     void arm(Core::Instant deadline, std::function<void()> onExpiry);
     void disarm();
 
 private:
-    explicit Watchdog(asio::any_io_executor strand);
+    explicit Watchdog(asio::any_io_executor const& strand);
     void wait(Core::Instant until);
     void onTimer();
 
--- a/Services/comfreysaild/AdminServer.cpp
+++ b/Services/comfreysaild/AdminServer.cpp
@@ -45,7 +45,7 @@
     } else if (path == "/status") {
         response = { 200, statusJson(), "application/json" };
     } else if (path == "/settings") {
-        auto const settings = m_services.coordination.settings();
+        auto const settings = m_services.controlPlane.settings();
         if (settings)
             response = { 200, settings->toml, "application/toml" };
         else
@@ -73,13 +73,13 @@
         metrics.gauge("comfreysail_group_queued", labels).set(load.queued);
         metrics.gauge("comfreysail_group_slots", labels).set(load.slots);
     }
-    return metrics.prometheusText();
+    return metrics.prometheusText() + m_services.controlPlane.metricsText();
 }
 
 std::string AdminHandler::statusJson() const
 {
     boost::json::object status;
-    auto const settings = m_services.coordination.settings();
+    auto const settings = m_services.controlPlane.settings();
     status["vm_name"] = m_services.settings.vmName;
     status["availability_zone"] = m_services.settings.availabilityZone;
     status["version"] = COMFREYSAIL_VERSION;
@@ -87,7 +87,7 @@
     status["settings_revision"] = settings ? settings->revision.revision : 0;
     status["active_requests"] = m_services.activeRequests.load();
     boost::json::array members;
-    for (auto const& member : *m_services.coordination.liveMembers())
+    for (auto const& member : *m_services.controlPlane.liveMembers())
         members.push_back({ { "name", member.name }, { "availability_zone", member.availabilityZone } });
     status["members"] = std::move(members);
     auto const now = Core::monotonicNow();
@@ -106,6 +106,8 @@
             { "crashed_targets", entry.targetInstances.size() }, { "refused", entry.isRefused } });
     }
     status["quarantine"] = std::move(quarantine);
+    boost::system::error_code error;
+    status["control_plane"] = boost::json::parse(m_services.controlPlane.statusJson(), error);
     return boost::json::serialize(status) + "\n";
 }
 
--- a/Services/comfreysaild/ClaimGate.cpp
+++ b/Services/comfreysaild/ClaimGate.cpp
@@ -51,8 +51,8 @@
 }
 
 struct ClaimGate::Waiter {
-    explicit Waiter(asio::any_io_executor strand)
-        : timer(std::move(strand), asio::steady_timer::time_point::max())
+    explicit Waiter(asio::any_io_executor const& strand)
+        : timer(strand, asio::steady_timer::time_point::max())
     {
     }
 
--- a/Services/comfreysaild/Daemon.cpp
+++ b/Services/comfreysaild/Daemon.cpp
@@ -6,6 +6,8 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/strand.hpp>
 #include <csignal>
+#include <fstream>
+#include <iterator>
 #include <random>
 #include <thread>
 
@@ -23,6 +25,8 @@
 constexpr auto shutdownPollInterval = std::chrono::milliseconds(20);
 // A request that is being received when the last running one ends still gets its refusal.
 constexpr auto lastRequestsGrace = std::chrono::milliseconds(100);
+constexpr auto startTimeout = std::chrono::seconds(5);
+constexpr auto leaveNoticeTime = std::chrono::milliseconds(100);
 constexpr auto claimFlushTimeout = std::chrono::seconds(5);
 constexpr unsigned ticksBetweenPoolSweeps = 100;
 
@@ -44,6 +48,39 @@
     return Store::makeHttpStore(context.get_executor(), options);
 }
 
+ControlPlaneOptions controlPlaneOptions(DaemonSettings const& settings)
+{
+    ControlPlaneOptions options;
+    options.name = settings.vmName;
+    options.availabilityZone = settings.availabilityZone;
+    options.address = settings.control.address;
+    options.peerHttpPort = settings.peer.port;
+    options.peerMessagePort = settings.control.port;
+    options.seeds = settings.seeds;
+    options.peerBytesPerSecond = std::min(options.peerBytesPerSecond, settings.measurementBytesPerSecond);
+    return options;
+}
+
+/// Puts the settings tree of a file into the memory store, from which the control plane reads it as from the platform.
+Result<Empty> loadSettingsFile(DaemonSettings const& settings, Store::MemoryStore& store)
+{
+    std::ifstream stream(*settings.settingsFile, std::ios::binary);
+    if (!stream)
+        return Core::Error { Core::ErrorKind::InvalidSettings, *settings.settingsFile + ": cannot read the file" };
+    std::string toml { std::istreambuf_iterator<char>(stream), {} };
+    auto parsed = Settings::parseSettings(toml, *settings.settingsFile);
+    if (auto const* const faults = std::get_if<Settings::SettingsFaults>(&parsed))
+        return Settings::toError(*faults);
+    store.setVms({ { settings.vmName, settings.peer.address, settings.availabilityZone, Store::Vm::State::Live } });
+    Result<Store::ApplyResult> applied = Core::Error {};
+    // The memory store calls back before the call returns.
+    Store::applyChange(store.port(), { "settings-file", std::move(toml), 0 }, Core::monotonicNow() + startTimeout,
+        [&](Result<Store::ApplyResult> result) { applied = std::move(result); });
+    if (isError(applied))
+        return errorOf(applied);
+    return Empty {};
+}
+
 /// Unique for each start of a daemon, so that it does not take rows of its predecessor for its own.
 std::string holderName(DaemonSettings const& settings)
 {
@@ -57,13 +94,14 @@
 Daemon::Daemon(DaemonSettings settings)
     : m_settings(std::move(settings))
     , m_context(static_cast<int>(m_settings.workerThreads))
-    , m_coordination(m_settings)
-    , m_routing(m_coordination, m_settings)
     , m_pool(m_context, poolOptions(m_settings))
     , m_upstream(m_pool, m_settings.limits)
     , m_store(storePort(m_settings, m_context, m_memoryStore))
+    , m_controlPlane(m_context, controlPlaneOptions(m_settings), m_store, peerEvents())
+    , m_routing(m_controlPlane, m_settings)
+    , m_loads(m_routing, m_controlPlane, m_settings, Core::monotonicNow())
     , m_claims(std::make_shared<ClaimGate>(m_store, holderName(m_settings)))
-    , m_services { m_settings, m_coordination, m_routing, m_upstream, m_retries, m_crashes, *m_claims, m_metrics }
+    , m_services { m_settings, m_controlPlane, m_routing, m_upstream, m_retries, m_crashes, *m_claims, m_metrics }
     , m_handler(m_services)
     , m_admin(m_services, [this] { return isReady(); })
     , m_signals(m_context, SIGTERM, SIGINT)
@@ -72,6 +110,17 @@
 
 Daemon::~Daemon() = default;
 
+PeerEvents Daemon::peerEvents()
+{
+    PeerEvents events;
+    events.onCrash = [this](CrashNotice const& notice) {
+        m_retries.noteCrash({ notice.fingerprint, notice.target }, Core::monotonicNow());
+    };
+    events.onLoad = [this](LoadNotice const& notice) { m_loads.noteReceived(notice, Core::monotonicNow()); };
+    events.onSettings = [this] { m_routing.refresh(Core::monotonicNow()); };
+    return events;
+}
+
 HTTP::ServerOptions Daemon::serverOptions(ListenAddress const& address) const
 {
     HTTP::ServerOptions options;
@@ -87,9 +136,12 @@
 
 Result<Empty> Daemon::start()
 {
-    if (auto started = m_coordination.start(); isError(started))
+    if (m_settings.settingsFile) {
+        if (auto loaded = loadSettingsFile(m_settings, m_memoryStore); isError(loaded))
+            return loaded;
+    }
+    if (auto started = m_controlPlane.start(); isError(started))
         return started;
-    m_routing.refresh(Core::monotonicNow());
     auto const handlerFor = [this](Origin origin) {
         return [this, origin](HTTP::ServerExchange& exchange) { return m_handler.handle(exchange, origin); };
     };
@@ -107,6 +159,7 @@
 int Daemon::run()
 {
     if (auto const started = start(); isError(started)) {
+        m_controlPlane.stop();
         Telemetry::EventLine("start_failed").add("reason", errorOf(started).detail).logError();
         return errorOf(started).kind == Core::ErrorKind::InvalidSettings ? exitUsage : exitRuntimeFailure;
     }
@@ -133,7 +186,7 @@
         .logInfo();
 }
 
-bool Daemon::isReady() const { return !m_isShuttingDown && !m_coordination.refusal(); }
+bool Daemon::isReady() const { return !m_isShuttingDown && !m_controlPlane.refusal() && m_routing.current()->settings; }
 
 awaitable<void> Daemon::pause(Core::Duration duration)
 {
@@ -149,6 +202,7 @@
         m_routing.refresh(now);
         m_routing.tick(now);
         m_claims->tick();
+        m_loads.tick(now);
         if (tick % ticksBetweenPoolSweeps == 0)
             m_pool.closeExpired(now);
     }
@@ -176,6 +230,7 @@
 awaitable<void> Daemon::shutDown()
 {
     m_isShuttingDown = true;
+    m_controlPlane.beginDrain();
     co_await pause(m_settings.balancerLag);
     m_callerServer->closeAfterResponses();
     m_peerServer->closeAfterResponses();
@@ -193,6 +248,9 @@
     auto const claimsUntil = Core::monotonicNow() + claimFlushTimeout;
     while (!m_claims->isIdle() && Core::monotonicNow() < claimsUntil)
         co_await pause(shutdownPollInterval);
+    m_controlPlane.leave();
+    co_await pause(leaveNoticeTime);
+    m_controlPlane.stop();
     Telemetry::EventLine("shutdown_finished").logInfo();
     m_context.stop();
 }
--- a/Services/comfreysaild/Daemon.h
+++ b/Services/comfreysaild/Daemon.h
@@ -2,6 +2,7 @@
 
 #include "AdminServer.h"
 #include "DaemonServices.h"
+#include "LoadExchange.h"
 #include "RequestHandler.h"
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -22,6 +23,7 @@
 
 private:
     Core::Result<Core::Empty> start();
+    PeerEvents peerEvents();
     HTTP::ServerOptions serverOptions(ListenAddress const&) const;
     HTTP::awaitable<void> tickLoop();
     HTTP::awaitable<void> waitForSignals();
@@ -32,14 +34,15 @@
 
     DaemonSettings m_settings;
     boost::asio::io_context m_context;
-    Coordination m_coordination;
-    RoutingTableOwner m_routing;
     HTTP::ConnectionPool m_pool;
     UpstreamClient m_upstream;
     RetryTable m_retries;
     CrashTracker m_crashes;
     Store::MemoryStore m_memoryStore; ///< Used when the settings tree comes from a file.
     Store::StorePort m_store;
+    ControlPlane m_controlPlane;
+    RoutingTableOwner m_routing;
+    LoadExchange m_loads;
     std::shared_ptr<ClaimGate> m_claims;
     Telemetry::MetricRegistry m_metrics;
     DaemonServices m_services;
--- a/Services/comfreysaild/DaemonServices.h
+++ b/Services/comfreysaild/DaemonServices.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "ClaimGate.h"
-#include "Coordination.h"
+#include "ControlPlane.h"
 #include "CrashTracker.h"
 #include "DaemonSettings.h"
 #include "RetryTable.h"
@@ -15,7 +15,7 @@
 /// What the request path uses. Owned by Daemon; every member is thread safe.
 struct DaemonServices {
     DaemonSettings const& settings;
-    Coordination& coordination;
+    ControlPlane& controlPlane;
     RoutingTableOwner& routing;
     UpstreamClient& upstream;
     RetryTable& retries;
--- a/Services/comfreysaild/DaemonSettings.cpp
+++ b/Services/comfreysaild/DaemonSettings.cpp
@@ -19,7 +19,8 @@
 
 Settings::TextRule const pathRule { isAnyText, "a path" };
 
-// Port 0 lets the system choose; the daemon logs the port that it got.
+// Port 0 lets the system choose, and the daemon logs the port that it got. Other daemons must know the peer and control
+// ports, so these cannot be 0.
 ListenAddress readAddressOf(CheckedTable& table, int64_t minimumPort)
 {
     ListenAddress address;
@@ -102,10 +103,10 @@
     if (settings.settingsFile)
         settings.settingsFile = (std::filesystem::path(path).parent_path() / *settings.settingsFile).string();
     settings.caller = readAddress(root, "caller");
-    settings.peer = readAddress(root, "peer");
+    settings.peer = readAddress(root, "peer", 1);
     settings.admin = readAddress(root, "admin");
     if (auto control = root.table("control", Presence::Required)) {
-        settings.control = readAddressOf(*control, 0);
+        settings.control = readAddressOf(*control, 1);
         settings.seeds = control->texts("seeds", Settings::hostPortRule);
         control->refuseOtherKeys();
     }
--- a/Services/comfreysaild/ForwardedHeads.cpp
+++ b/Services/comfreysaild/ForwardedHeads.cpp
@@ -36,7 +36,8 @@
 {
     auto head = strippedHead(context, now);
     head.fields.set(Core::Header::attempt, std::to_string(context.attempt));
-    head.fields.set(Core::Header::depth, std::to_string(context.classification.depth));
+    // Targets copy the header into the calls that they make, so it already counts this call.
+    head.fields.set(Core::Header::depth, std::to_string(context.classification.depth + 1));
     head.fields.set(Core::Header::startBy, std::to_string(Core::toUnixMilliseconds(startBy)));
     return head;
 }
--- a/Services/comfreysaild/GroupChoice.cpp
+++ b/Services/comfreysaild/GroupChoice.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-constexpr double drawRange = 4294967296.0;
-
 ZoneRoute const* zoneNamed(std::vector<ZoneRoute> const& zones, std::string_view name)
 {
     auto const found = std::ranges::find(zones, name, &ZoneRoute::availabilityZone);
@@ -54,9 +52,16 @@
     auto const* const wanted = own != usable.end() ? *own : drawZone(usable, version, uniform);
     if (!wanted)
         return nullptr;
-    auto const moved = services.coordination.zoneFor(context.classification.service, wanted->availabilityZone, uniform);
+    auto const moved = services.controlPlane.zoneFor(context.classification.service, wanted->availabilityZone, uniform);
+    if (moved == wanted->availabilityZone)
+        return wanted;
+    // An empty name stands for any other zone.
+    std::erase(usable, wanted);
     auto const target = std::ranges::find(usable, moved, &ZoneRoute::availabilityZone);
-    return target != usable.end() ? *target : wanted;
+    if (target != usable.end())
+        return *target;
+    auto const* const other = drawZone(usable, version, uniform);
+    return other ? other : wanted;
 }
 
 }
@@ -71,11 +76,12 @@
     auto const& zones = found->second;
     GroupChoice choice;
     double const uniform = context.draw / drawRange;
-    choice.version = services.coordination.versionFor(
-        classification.service, classification.department, classification.routeName, uniform);
-    auto const* zone = classification.chosenGroup && context.failedZones.empty()
-        ? zoneNamed(zones, classification.chosenGroup->availabilityZone)
-        : nullptr;
+    choice.version = services.controlPlane.versionFor(
+        classification.service, classification.shareDepartment, classification.routeName, uniform);
+    ZoneRoute const* zone = nullptr;
+    if (classification.chosenGroup && context.failedZones.empty())
+        zone = zoneNamed(zones, classification.chosenGroup->availabilityZone);
+    bool const isChosenBefore = zone != nullptr;
     if (!zone)
         zone = chooseZone(services, context, zones, choice.version.version, uniform);
     if (!zone || zone->shards.empty()) {
@@ -83,13 +89,28 @@
             "no availability zone in service has version " + choice.version.version };
     }
     auto const shards = static_cast<unsigned>(zone->shards.size());
-    auto const shard = Routing::shardOfRequest(classification.requestId, shards);
+    auto const shard = isChosenBefore ? std::min(classification.chosenGroup->shard, shards - 1)
+                                      : Routing::shardOfRequest(classification.requestId, shards);
     choice.group = { zone->availabilityZone, shard, context.draw };
     choice.dispatcher = zone->shards[shard].dispatcher;
     choice.home = zone->shards[shard].home;
     return choice;
 }
 
+std::optional<GroupChoice> spillChoice(DaemonServices& services, RequestContext const& context,
+    GroupChoice const& choice, Routing::GroupKey const& sibling)
+{
+    auto const table = services.routing.current();
+    auto const found = table->services.find(sibling.service);
+    auto const* const zone
+        = found == table->services.end() ? nullptr : zoneNamed(found->second, sibling.availabilityZone);
+    if (!zone || sibling.shard >= zone->shards.size() || slotsOf(*zone, choice.version.version) == 0)
+        return std::nullopt;
+    auto const& shard = zone->shards[sibling.shard];
+    return GroupChoice { { sibling.availabilityZone, sibling.shard, context.draw }, choice.version, shard.dispatcher,
+        shard.home };
+}
+
 namespace {
 
 /// A version that is only beginning to get traffic uses its first targets in name order.
@@ -120,7 +141,7 @@
     request.suspect = services.retries.isSuspect(context.fingerprint, now);
     request.excludedTargets = context.failedTargets;
     if (choice.version.targetLimit)
-        excludeBeyondLimit(request.excludedTargets, *services.coordination.settings()->tree, context, choice);
+        excludeBeyondLimit(request.excludedTargets, *services.controlPlane.settings()->tree, context, choice);
     return request;
 }
 
--- a/Services/comfreysaild/GroupChoice.h
+++ b/Services/comfreysaild/GroupChoice.h
@@ -18,6 +18,11 @@
 /// Error: NoTargetAvailable.
 Core::Result<GroupChoice> chooseGroup(DaemonServices&, RequestContext const&);
 
+/// The choice for another group of the same service, for a request that is spilled. Nothing when the group has no
+/// target of the chosen version.
+std::optional<GroupChoice> spillChoice(
+    DaemonServices&, RequestContext const&, GroupChoice const&, Routing::GroupKey const&);
+
 /// What a target must offer to get this request.
 Routing::PickRequest pickRequestFor(DaemonServices&, RequestContext const&, GroupChoice const&, Core::Instant now);
 
--- a/Services/comfreysaild/GroupDispatcher.cpp
+++ b/Services/comfreysaild/GroupDispatcher.cpp
@@ -1,5 +1,6 @@
 #include "GroupDispatcher.h"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
@@ -24,7 +25,7 @@
 }
 
 struct GroupDispatcher::Waiter {
-    explicit Waiter(asio::any_io_executor strand, Routing::PickRequest request)
+    explicit Waiter(asio::any_io_executor const& strand, Routing::PickRequest request)
         : timer(strand, asio::steady_timer::time_point::max())
         , request(std::move(request))
     {
@@ -42,6 +43,7 @@
     , m_group(std::move(key), targets, groupOptions, now)
     , m_queue(admissionOptions)
     , m_endpoints(endpointsOf(targets))
+    , m_spill(groupOptions.seed)
 {
 }
 
@@ -57,7 +59,7 @@
     auto const now = Core::monotonicNow();
     auto waiter = std::make_shared<Waiter>(context.exchange.strand(), std::move(request));
     Admission::QueuedRequest queued;
-    queued.department = classification.department;
+    queued.department = classification.shareDepartment;
     queued.requestClass = static_cast<Admission::RequestClass>(classification.routeClass);
     queued.weight = classification.settings.weight;
     queued.deadline = std::min(context.deadline(), now + classification.settings.queueTimeout);
@@ -191,9 +193,45 @@
 Routing::GroupLoad GroupDispatcher::load(Instant now) const
 {
     std::lock_guard const lock(m_mutex);
+    return currentLoad(now);
+}
+
+Routing::GroupLoad GroupDispatcher::currentLoad(Instant now) const
+{
     auto load = m_group.load(now);
     load.queued = static_cast<unsigned>(m_queue.queued());
     return load;
 }
 
+void GroupDispatcher::setSiblings(std::vector<Routing::GroupKey> siblings)
+{
+    std::lock_guard const lock(m_mutex);
+    for (auto const& sibling : m_siblings) {
+        if (std::ranges::find(siblings, sibling) == siblings.end())
+            m_spill.removeSibling(sibling);
+    }
+    m_siblings = std::move(siblings);
+}
+
+void GroupDispatcher::noteSiblingLoad(Routing::GroupKey const& sibling, Routing::GroupLoad load, Instant now)
+{
+    std::lock_guard const lock(m_mutex);
+    if (std::ranges::find(m_siblings, sibling) != m_siblings.end())
+        m_spill.noteReport(sibling, load, now);
+}
+
+std::optional<Routing::GroupKey> GroupDispatcher::chooseSpill(Instant now)
+{
+    std::lock_guard const lock(m_mutex);
+    if (m_siblings.empty() || m_group.mode() != Routing::DispatchMode::Home)
+        return std::nullopt;
+    return m_spill.choose(currentLoad(now), now);
+}
+
+void GroupDispatcher::noteSpillFinished(Routing::GroupKey const& sibling, Instant sentAt)
+{
+    std::lock_guard const lock(m_mutex);
+    m_spill.noteSpillFinished(sibling, sentAt);
+}
+
 }
--- a/Services/comfreysaild/GroupDispatcher.h
+++ b/Services/comfreysaild/GroupDispatcher.h
@@ -49,6 +49,15 @@
     /// Taking the zone out refuses the requests that wait (NoTargetAvailable).
     void setAvailabilityZoneIn(bool isIn, Core::Instant now);
 
+    /// The groups of the service in other availability zones, to which requests may be spilled.
+    void setSiblings(std::vector<Routing::GroupKey>);
+    void noteSiblingLoad(Routing::GroupKey const&, Routing::GroupLoad, Core::Instant now);
+
+    /// The sibling that the next request is to go to, when this daemon is the home and under load pressure. Every
+    /// spill ends with noteSpillFinished().
+    std::optional<Routing::GroupKey> chooseSpill(Core::Instant now);
+    void noteSpillFinished(Routing::GroupKey const&, Core::Instant sentAt);
+
     /// Refuses requests that waited too long and sends those for which there is room by now.
     void tick(Core::Instant now);
 
@@ -58,6 +67,7 @@
     struct Waiter;
 
     void dispatch(Core::Instant now);
+    Routing::GroupLoad currentLoad(Core::Instant now) const;
     HTTP::Endpoint endpointOf(std::string const& target) const;
     void resolve(uint64_t id, Core::Result<Dispatched>);
 
@@ -67,6 +77,8 @@
     Admission::AdmissionQueue m_queue;
     std::unordered_map<uint64_t, std::shared_ptr<Waiter>> m_waiters;
     std::map<std::string, HTTP::Endpoint> m_endpoints; ///< Removed targets stay until their sends have ended.
+    Routing::SpillSelector m_spill;
+    std::vector<Routing::GroupKey> m_siblings;
     uint64_t m_lastId { 0 };
     bool m_isIn { true };
 };
--- a/Services/comfreysaild/RequestBody.cpp
+++ b/Services/comfreysaild/RequestBody.cpp
@@ -58,13 +58,17 @@
             total += size;
             co_return size;
         }
-        if (context.exchange.isBodyFinished())
+        if (context.exchange.isBodyFinished()) {
+            context.exchange.watchCaller([&context] { context.stopSignal.stop(ErrorKind::CallerGone); });
             co_return size_t { 0 };
+        }
         auto size = co_await context.exchange.readBody(into);
         if (!isError(size)) {
             total += valueOf(size);
             if (total > context.classification.settings.maxBodyBytes)
                 size = bodyTooLarge(context);
+            else if (valueOf(size) == 0)
+                context.exchange.watchCaller([&context] { context.stopSignal.stop(ErrorKind::CallerGone); });
         }
         if (isError(size))
             context.stopSignal.stop(errorOf(size).kind);
--- a/Services/comfreysaild/RequestClassification.h
+++ b/Services/comfreysaild/RequestClassification.h
@@ -22,10 +22,14 @@
     bool operator==(ChosenGroup const&) const = default;
 };
 
+/// Range of a request's draw; dividing by it gives a number in [0, 1).
+inline constexpr double drawRange = 4294967296.0;
+
 /// Everything that the settings and the head decide about a request.
 struct RequestClassification {
     std::string service;
-    std::string department;
+    std::string department;      ///< As the caller says; part of the claim key, so that a move does not change it.
+    std::string shareDepartment; ///< Whose settings and share apply; another one while a department moves.
     std::string routeName;
     Settings::RouteClass routeClass { Settings::RouteClass::Lookup };
     bool isIdempotent { false };
--- a/Services/comfreysaild/RequestContext.h
+++ b/Services/comfreysaild/RequestContext.h
@@ -35,7 +35,8 @@
     std::shared_ptr<HTTP::Watchdog> deadlineWatchdog;
     std::shared_ptr<HTTP::Watchdog> stallWatchdog; ///< For the body of the response.
 
-    unsigned attempt { 0 };    ///< Sends to targets or homes so far.
+    unsigned attempt { 0 }; ///< Sends to targets or homes so far.
+    bool wasSpilled { false };
     bool mayHaveRun { false }; ///< A byte of an earlier or the current send may have reached a target.
     std::vector<std::string> failedTargets;
     std::vector<std::string> failedHomes;
--- a/Services/comfreysaild/RequestHandler.cpp
+++ b/Services/comfreysaild/RequestHandler.cpp
@@ -78,17 +78,25 @@
 
 awaitable<Result<Empty>> RequestHandler::prepare(RequestContext& context)
 {
-    auto const settings = m_services.coordination.settings();
+    // The settings that the routing table was built from, so that a new service is known only when it can be reached.
+    auto const settings = m_services.routing.current()->settings;
     if (m_services.refusesNewWork)
         co_return Error { ErrorKind::ShuttingDown, {} };
-    if (auto const refusal = m_services.coordination.refusal())
+    // During the lag of the platform's balancer the daemon still serves, although it no longer wants to be a home.
+    auto const refusal = m_services.controlPlane.refusal();
+    if (refusal && *refusal != ErrorKind::ShuttingDown)
         co_return Error { *refusal, {} };
+    if (!settings)
+        co_return Error { ErrorKind::SettingsUnavailable, {} };
     auto classified = classify(context.exchange.head(), *settings->tree, context.origin, context.arrivedAt);
     if (isError(classified))
         co_return errorOf(classified);
     context.classification = takeValue(std::move(classified));
+    if (m_services.controlPlane.departmentsOut()->contains(context.classification.department))
+        co_return Error { ErrorKind::UnknownDepartment, "the department has left" };
     auto const& chosen = context.classification.chosenGroup;
     context.draw = chosen ? chosen->draw : randomDraw();
+    applyDepartmentMove(context, *settings->tree);
     armDeadline(context);
     StopSignal::Scope const scope(context.stopSignal, [&context] { context.exchange.cancelReadIfReading(); });
     auto buffered = co_await bufferBody(context);
@@ -106,6 +114,16 @@
     co_return Empty {};
 }
 
+void RequestHandler::applyDepartmentMove(RequestContext& context, Settings::SettingsTree const& tree)
+{
+    auto& classification = context.classification;
+    auto const department = m_services.controlPlane.departmentFor(
+        classification.service, classification.department, context.draw / drawRange);
+    classification.shareDepartment = department;
+    if (department != classification.department)
+        classification.settings = Settings::effectiveSettings(tree, classification.service, department);
+}
+
 awaitable<ForwardEnd> RequestHandler::forward(RequestContext& context)
 {
     ForwardEnd last { Kind::Refused, { ErrorKind::NoTargetAvailable, {} } };
@@ -114,22 +132,55 @@
         if (isError(chosen))
             co_return round == 0 ? ForwardEnd { Kind::Refused, errorOf(chosen) } : last;
         auto const& choice = valueOf(chosen);
-        // A claim belongs to this daemon, so the request stays here once it has one.
-        bool const goesToHome = choice.home && !context.claim && context.classification.hops < maxHops
-            && std::ranges::find(context.failedHomes, choice.home->name) == context.failedHomes.end();
-        if (goesToHome) {
-            last = co_await forwardToHome(m_services, context, choice);
-            context.failedHomes.push_back(choice.home->name);
-        } else {
-            last = co_await m_targetSender.run(context, choice);
-            context.failedZones.push_back(choice.group.availabilityZone);
-        }
+        last = co_await forwardOnce(context, choice);
         if (last.kind != Kind::TryElsewhere || context.stopSignal.reason())
             co_return last;
     }
     co_return last;
 }
 
+awaitable<ForwardEnd> RequestHandler::forwardOnce(RequestContext& context, GroupChoice const& choice)
+{
+    // A claim belongs to this daemon, so the request stays here once it has one.
+    bool const goesToHome = choice.home && !context.claim && context.classification.hops < maxHops
+        && std::ranges::find(context.failedHomes, choice.home->name) == context.failedHomes.end();
+    if (goesToHome) {
+        auto end = co_await forwardToHome(m_services, context, choice);
+        context.failedHomes.push_back(choice.home->name);
+        co_return end;
+    }
+    auto spilled = co_await trySpill(context, choice);
+    if (spilled)
+        co_return *std::move(spilled);
+    auto end = co_await m_targetSender.run(context, choice);
+    context.failedZones.push_back(choice.group.availabilityZone);
+    co_return end;
+}
+
+awaitable<std::optional<ForwardEnd>> RequestHandler::trySpill(RequestContext& context, GroupChoice const& choice)
+{
+    bool const maySpill = !choice.home && !context.claim && !context.wasSpilled && !context.isStreamed
+        && context.attempt == 0 && context.classification.hops < maxHops;
+    if (!maySpill)
+        co_return std::nullopt;
+    auto const sentAt = Core::monotonicNow();
+    auto const sibling = choice.dispatcher->chooseSpill(sentAt);
+    if (!sibling)
+        co_return std::nullopt;
+    context.wasSpilled = true;
+    std::optional<ForwardEnd> end;
+    auto const other = spillChoice(m_services, context, choice, *sibling);
+    if (other && other->home)
+        end = co_await forwardToHome(m_services, context, *other);
+    else if (other)
+        end = co_await m_targetSender.run(context, *other);
+    choice.dispatcher->noteSpillFinished(*sibling, sentAt);
+    // The own zone takes the request when the other one could not.
+    if (end && end->kind == Kind::TryElsewhere && !context.stopSignal.reason())
+        co_return std::nullopt;
+    co_return end;
+}
+
 awaitable<void> RequestHandler::refuse(RequestContext& context, Error const& error)
 {
     auto& exchange = context.exchange;
--- a/Services/comfreysaild/RoutingTable.cpp
+++ b/Services/comfreysaild/RoutingTable.cpp
@@ -36,8 +36,8 @@
 
 }
 
-RoutingTableOwner::RoutingTableOwner(Coordination& coordination, DaemonSettings const& settings)
-    : m_coordination(coordination)
+RoutingTableOwner::RoutingTableOwner(ControlPlane& controlPlane, DaemonSettings const& settings)
+    : m_controlPlane(controlPlane)
     , m_daemonSettings(settings)
 {
 }
@@ -52,17 +52,18 @@
 {
     // Read before the lock: settings and members come first in the lock order. The generation is read before them, so
     // that a change in between causes another refresh.
-    auto const generation = m_coordination.generation();
+    auto const generation = m_controlPlane.generation();
     auto table = std::make_shared<RoutingTable>();
-    table->settings = m_coordination.settings();
-    auto const members = m_coordination.liveMembers();
+    table->settings = m_controlPlane.settings();
+    auto const members = m_controlPlane.liveMembers();
+    auto const zonesOut = m_controlPlane.zonesOut();
     std::lock_guard const lock(m_mutex);
     if (m_generation == generation)
         return;
     m_generation = generation;
     if (table->settings) {
         for (auto const& [name, service] : table->settings->tree->services)
-            addService(*table, name, service, *members, now);
+            addService(*table, name, service, *members, *zonesOut, now);
     }
     // Groups that have gone from the settings: their targets get no new work, their running requests finish.
     std::set<GroupDispatcher const*> used;
@@ -80,11 +81,11 @@
 }
 
 void RoutingTableOwner::addService(RoutingTable& table, std::string const& name, Settings::Service const& service,
-    std::vector<PeerMember> const& members, Core::Instant now)
+    std::vector<PeerMember> const& members, NameSet const& zonesOut, Core::Instant now)
 {
     auto& zones = table.services[name];
     for (auto const& [zoneName, targets] : targetsByZone(service)) {
-        if (!table.settings->tree->isZoneIn(zoneName))
+        if (!table.settings->tree->isZoneIn(zoneName) || zonesOut.contains(zoneName))
             continue;
         ZoneRoute zone;
         zone.availabilityZone = zoneName;
--- a/Services/comfreysaild/RoutingTable.h
+++ b/Services/comfreysaild/RoutingTable.h
@@ -1,11 +1,13 @@
 #pragma once
 
-#include "Coordination.h"
+#include "ControlPlane.h"
+#include "DaemonSettings.h"
 #include "GroupDispatcher.h"
 #include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -25,7 +27,7 @@
 
 /// Where requests can go under one state of settings and members. Immutable.
 struct RoutingTable {
-    Coordination::SettingsPointer settings;
+    ControlPlane::SettingsPointer settings;
     std::map<std::string, std::vector<ZoneRoute>, std::less<>> services; ///< Zones that are out of service are absent.
 };
 
@@ -33,7 +35,7 @@
 /// Thread safe.
 class RoutingTableOwner {
 public:
-    RoutingTableOwner(Coordination&, DaemonSettings const&);
+    RoutingTableOwner(ControlPlane&, DaemonSettings const&);
 
     std::shared_ptr<RoutingTable const> current() const;
 
@@ -46,18 +48,20 @@
     std::vector<std::shared_ptr<GroupDispatcher>> dispatchers() const;
 
 private:
+    using NameSet = std::set<std::string, std::less<>>;
+
     struct Group {
         std::shared_ptr<GroupDispatcher> dispatcher;
         std::vector<Routing::Target> targets;
     };
 
     void addService(RoutingTable&, std::string const& name, Settings::Service const&, std::vector<PeerMember> const&,
-        Core::Instant now);
+        NameSet const& zonesOut, Core::Instant now);
     std::shared_ptr<GroupDispatcher> dispatcherFor(
         Routing::GroupKey const&, std::vector<Routing::Target>, Settings::SettingsTree const&, Core::Instant now);
     std::optional<PeerMember> homeOfGroup(Routing::GroupKey const&, std::vector<PeerMember> const&) const;
 
-    Coordination& m_coordination;
+    ControlPlane& m_controlPlane;
     DaemonSettings const& m_daemonSettings;
     mutable std::mutex m_mutex; ///< Lock level "group table" of design.md.
     std::shared_ptr<RoutingTable const> m_table { std::make_shared<RoutingTable const>() };
--- a/Services/comfreysaild/TargetSender.cpp
+++ b/Services/comfreysaild/TargetSender.cpp
@@ -195,14 +195,14 @@
     observation.latency = Core::monotonicNow() - dispatched.sentAt;
     observation.isCold = hint.state == Routing::TargetState::Cold;
     observation.isLoaded = hint.inFlight && hint.limit && *hint.inFlight >= *hint.limit;
-    m_services.coordination.reportEvidence(observation);
+    m_services.controlPlane.reportEvidence(observation);
 }
 
 void TargetSender::noteCrash(CrashTracker::Send const& send, Core::Instant now)
 {
     for (auto const fingerprint : m_services.crashes.noteCrashed(send)) {
         m_services.retries.noteCrash({ fingerprint, send.instance }, now);
-        m_services.coordination.reportCrash({ fingerprint, send.instance });
+        m_services.controlPlane.reportCrash({ fingerprint, send.instance });
     }
 }
 
--- a/Tests/Support/DaemonProcess.cpp
+++ b/Tests/Support/DaemonProcess.cpp
@@ -11,6 +11,7 @@
 #include <sys/wait.h>
 #include <thread>
 #include <unistd.h>
+#include <utility>
 
 namespace Comfreysail::Tests {
 
@@ -48,13 +49,28 @@
     return text + "]\n" + options.treeAdditions;
 }
 
-std::string settingsText(DaemonOptions const& options)
+/// A port that was free a moment ago; peer and control ports cannot be left to the system.
+uint16_t freePort()
 {
-    std::string text = "vm_name = \"entry-1\"\navailability_zone = \"pos-hall\"\nsettings_file = \"tree.toml\"\n"
-                       "balancer_lag_ms = "
+    auto const listener = listenOnFreePort();
+    ::close(listener.descriptor);
+    return listener.port;
+}
+
+std::string settingsText(DaemonOptions const& options, uint16_t controlPort)
+{
+    std::string text = "vm_name = \"" + options.vmName + "\"\navailability_zone = \"" + options.availabilityZone
+        + "\"\nsettings_file = \"tree.toml\"\n"
+          "balancer_lag_ms = "
         + std::to_string(options.balancerLagMilliseconds) + "\n";
-    for (auto const* listener : { "caller", "peer", "admin", "control" })
-        text += "[" + std::string(listener) + "]\naddress = \"127.0.0.1\"\nport = 0\n";
+    std::vector<std::pair<std::string, uint16_t>> const listeners { { "caller", 0 }, { "peer", freePort() },
+        { "admin", 0 }, { "control", controlPort } };
+    for (auto const& [listener, port] : listeners)
+        text += "[" + listener + "]\naddress = \"127.0.0.1\"\nport = " + std::to_string(port) + "\n";
+    text += "seeds = [";
+    for (auto const port : options.seedPorts)
+        text += "\"127.0.0.1:" + std::to_string(port) + "\", ";
+    text += "]\n";
     return text + "[limits]\n" + options.limits + "\n";
 }
 
@@ -88,9 +104,10 @@
 
 DaemonProcess::DaemonProcess(DaemonOptions const& options)
     : m_folder(makeTemporaryFolder())
+    , m_controlPort(freePort())
 {
     std::ofstream(m_folder / "tree.toml") << treeText(options);
-    std::ofstream(m_folder / "daemon.toml") << settingsText(options);
+    std::ofstream(m_folder / "daemon.toml") << settingsText(options, m_controlPort);
     m_process = startProgram({ "--settings", (m_folder / "daemon.toml").string() }, m_folder / "log");
     auto const deadline = std::chrono::steady_clock::now() + startTimeout;
     while (log().find("event=started") == std::string::npos || !log().ends_with("\n")) {
@@ -108,12 +125,17 @@
     }
 }
 
+void DaemonProcess::kill()
+{
+    if (m_process <= 0)
+        return;
+    ::kill(m_process, SIGKILL);
+    ::waitpid(std::exchange(m_process, -1), nullptr, 0);
+}
+
 DaemonProcess::~DaemonProcess()
 {
-    if (m_process > 0) {
-        ::kill(m_process, SIGKILL);
-        ::waitpid(m_process, nullptr, 0);
-    }
+    kill();
     std::error_code ignored;
     std::filesystem::remove_all(m_folder, ignored);
 }
--- a/Tests/Support/DaemonProcess.h
+++ b/Tests/Support/DaemonProcess.h
@@ -21,6 +21,9 @@
     std::string serviceSettings; ///< Keys of the service, such as "timeout_ms = 300".
     std::string limits;          ///< Keys of the [limits] table.
     unsigned balancerLagMilliseconds { 0 };
+    std::string vmName { "entry-1" };
+    std::string availabilityZone { "pos-hall" };
+    std::vector<uint16_t> seedPorts; ///< Control ports of other daemons.
 };
 
 /// The real comfreysaild with one service, "orders.test", whose routes are GET / (lookup), GET /files (download) and
@@ -34,6 +37,7 @@
 
     uint16_t callerPort() const { return m_callerPort; }
     uint16_t peerPort() const { return m_peerPort; }
+    uint16_t controlPort() const { return m_controlPort; }
     uint16_t adminPort() const { return m_adminPort; }
 
     RawConnection connect() const { return RawConnection::connectTo(m_callerPort); }
@@ -43,6 +47,7 @@
     size_t residentKilobytes() const;
 
     void terminate() const;
+    void kill();
     /// Waits for the end of the process and returns its exit code; -1 when it does not end in time.
     int waitForExit(std::chrono::milliseconds = std::chrono::seconds(10));
 
@@ -52,6 +57,7 @@
 
     std::filesystem::path m_folder;
     int m_process { -1 };
+    uint16_t m_controlPort;
     uint16_t m_callerPort { 0 };
     uint16_t m_peerPort { 0 };
     uint16_t m_adminPort { 0 };
