comfreysaild: Accept settings on the admin port and name the daemon in its status

Cause: the operators' tool could not tell which daemons had a revision, because /status lacked the fields name and revision, and POST /settings was not served.

Change: both are served; a pushed text is limited to 4 MiB and goes through the same checks as one from the store.

--- a/Services/comfreysaild/AdminServer.cpp
+++ b/Services/comfreysaild/AdminServer.cpp
@@ -1,5 +1,7 @@
 #include "AdminServer.h"
 
+#include <LibStore/SettingsHead.h>
+#include <array>
 #include <boost/json.hpp>
 
 namespace Comfreysail::Daemon {
@@ -8,15 +10,30 @@
 
 namespace {
 
-struct AdminResponse {
-    unsigned status { 200 };
-    std::string body;
-    std::string contentType { "text/plain; charset=utf-8" };
-};
-
 constexpr unsigned statusServiceUnavailable = 503;
 constexpr unsigned statusNotFound = 404;
 constexpr unsigned statusMethodNotAllowed = 405;
+constexpr size_t bodyPieceSize = size_t { 16 } * 1024;
+// A settings tree of 150 services and 2,000 targets has 0.26 MB.
+constexpr size_t maxSettingsBody = size_t { 4 } * 1024 * 1024;
+
+AdminResponse refusal(Core::Error const& error) { return { Core::errorRule(error.kind).status, error.detail + "\n" }; }
+
+awaitable<Core::Result<std::string>> readWholeBody(HTTP::ServerExchange& exchange, size_t maxBytes)
+{
+    std::string body;
+    std::array<char, bodyPieceSize> piece {};
+    while (!exchange.isBodyFinished()) {
+        auto const size = co_await exchange.readBody(piece);
+        if (Core::isError(size))
+            co_return Core::errorOf(size);
+        body.append(piece.data(), Core::valueOf(size));
+        if (body.size() > maxBytes)
+            co_return Core::Error { Core::ErrorKind::BodyTooLarge,
+                "the limit is " + std::to_string(maxBytes) + " bytes" };
+    }
+    co_return body;
+}
 
 }
 
@@ -31,34 +48,57 @@
     auto const& head = exchange.head();
     auto const path = head.target.substr(0, head.target.find('?'));
     AdminResponse response;
-    if (head.method != "GET" && head.method != "HEAD") {
-        response = { statusMethodNotAllowed, "Only GET and HEAD are allowed.\n" };
-    } else if (path == "/health") {
-        response.body = "ok\n";
-    } else if (path == "/ready") {
-        if (m_isReady())
-            response.body = "ready\n";
-        else
-            response = { statusServiceUnavailable, "not ready\n" };
-    } else if (path == "/metrics") {
-        response = { 200, metricsText(), "text/plain; version=0.0.4" };
-    } else if (path == "/status") {
-        response = { 200, statusJson(), "application/json" };
-    } else if (path == "/settings") {
-        auto const settings = m_services.controlPlane.settings();
-        if (settings)
-            response = { 200, settings->toml, "application/toml" };
-        else
-            response = { statusNotFound, "There are no settings yet.\n" };
-    } else {
-        response = { statusNotFound, "Known paths: /health, /ready, /metrics, /status, /settings\n" };
-    }
+    if (head.method == "POST" && path == "/settings")
+        response = co_await acceptSettings(exchange);
+    else if (head.method == "GET" || head.method == "HEAD")
+        response = read(path);
+    else
+        response = { statusMethodNotAllowed, "Only GET, HEAD, and POST of /settings are allowed.\n" };
     HTTP::ResponseHead responseHead;
     responseHead.status = response.status;
     responseHead.fields.add("Content-Type", response.contentType);
     co_await exchange.respond(std::move(responseHead), response.body);
 }
 
+AdminResponse AdminHandler::read(std::string_view path) const
+{
+    if (path == "/health")
+        return { 200, "ok\n" };
+    if (path == "/ready") {
+        if (m_isReady())
+            return { 200, "ready\n" };
+        return { statusServiceUnavailable, "not ready\n" };
+    }
+    if (path == "/metrics")
+        return { 200, metricsText(), "text/plain; version=0.0.4" };
+    if (path == "/status")
+        return { 200, statusJson(), "application/json" };
+    if (path == "/settings") {
+        if (auto const settings = m_services.controlPlane.settings())
+            return { 200, settings->toml, "application/toml" };
+        return { statusNotFound, "There are no settings yet.\n" };
+    }
+    return { statusNotFound, "Known paths: /health, /ready, /metrics, /status, /settings\n" };
+}
+
+awaitable<AdminResponse> AdminHandler::acceptSettings(HTTP::ServerExchange& exchange)
+{
+    auto const body = co_await readWholeBody(exchange, maxSettingsBody);
+    if (Core::isError(body))
+        co_return refusal(Core::errorOf(body));
+    auto head = Store::SettingsHead::fromJson(Core::valueOf(body), "body");
+    if (Core::isError(head))
+        co_return refusal(Core::errorOf(head));
+    auto const& [revision, toml, objectName, rowVersion] = Core::valueOf(head);
+    if (!toml)
+        co_return refusal({ Core::ErrorKind::InvalidSettings, "the body has no field \"toml\"" });
+    auto const adopted
+        = m_services.controlPlane.pushSettings(revision.revision, revision.changeId, revision.hash, *toml);
+    if (Core::isError(adopted))
+        co_return refusal(Core::errorOf(adopted));
+    co_return AdminResponse { 200, "revision " + std::to_string(Core::valueOf(adopted)) + " is in force\n" };
+}
+
 std::string AdminHandler::metricsText() const
 {
     auto& metrics = m_services.metrics;
@@ -80,11 +120,11 @@
 {
     boost::json::object status;
     auto const settings = m_services.controlPlane.settings();
-    status["vm_name"] = m_services.settings.vmName;
+    status["name"] = m_services.settings.vmName;
     status["availability_zone"] = m_services.settings.availabilityZone;
     status["version"] = COMFREYSAIL_VERSION;
     status["ready"] = m_isReady();
-    status["settings_revision"] = settings ? settings->revision.revision : 0;
+    status["revision"] = settings ? settings->revision.revision : 0;
     status["active_requests"] = m_services.activeRequests.load();
     boost::json::array members;
     for (auto const& member : *m_services.controlPlane.liveMembers())
--- a/Services/comfreysaild/AdminServer.h
+++ b/Services/comfreysaild/AdminServer.h
@@ -6,6 +6,12 @@
 
 namespace Comfreysail::Daemon {
 
+struct AdminResponse {
+    unsigned status { 200 };
+    std::string body;
+    std::string contentType { "text/plain; charset=utf-8" };
+};
+
 /// Answers /health, /ready, /metrics, /status and /settings on the admin port.
 class AdminHandler {
 public:
@@ -15,6 +21,9 @@
     HTTP::awaitable<void> handle(HTTP::ServerExchange&);
 
 private:
+    AdminResponse read(std::string_view path) const;
+    /// Takes settings that the operators' tool hands over, in the form of the row settings/head with its text.
+    HTTP::awaitable<AdminResponse> acceptSettings(HTTP::ServerExchange&);
     std::string metricsText() const;
     std::string statusJson() const;
 
