LibMoves: Measure good and bad versions, and judge zones by the same moments

Entries of the old version, one for each of its targets, filled the evidence budget, so the two versions were compared at different moments. Now only targets of the new version are told apart, they go first, and a zone is left out of the whole-time window unless the old version is healthy there.

--- a/Libraries/LibMoves/Evidence.cpp
+++ b/Libraries/LibMoves/Evidence.cpp
@@ -54,12 +54,15 @@
 {
     m_watched.clear();
     for (auto const& move : moves) {
-        if (move.isJudged() && !move.isFinal())
-            m_watched[move.service].insert(startSlotOf(move.start));
+        if (!move.isJudged() || move.isFinal())
+            continue;
+        auto& watched = m_watched[move.service];
+        watched.startSlots.insert(startSlotOf(move.start));
+        watched.judgedVersions.insert(move.to);
     }
     auto const isUnwatched = [&](Address const& address) {
         auto const watched = m_watched.find(address.service);
-        return watched == m_watched.end() || (address.slot <= 0 && !watched->second.contains(address.slot));
+        return watched == m_watched.end() || (address.slot <= 0 && !watched->second.startSlots.contains(address.slot));
     };
     std::erase_if(m_counters, [&](auto const& item) { return isUnwatched(item.first); });
     std::erase_if(m_changed, isUnwatched);
@@ -70,11 +73,14 @@
     auto const watched = m_watched.find(observation.service);
     if (watched == m_watched.end() || observation.outcome == Outcome::Ignored)
         return;
-    EvidenceKey const key { observation.service, observation.version, observation.route, observation.availabilityZone,
-        targetHash(observation.target) };
+    // Targets are told apart only where a verdict depends on them: with one entry for each target of the old version,
+    // the entries of the new one waited for several seconds in bench-moves.
+    EvidenceKey key { observation.service, observation.version, observation.route, observation.availabilityZone, 0 };
+    if (watched->second.judgedVersions.contains(observation.version))
+        key.target = targetHash(observation.target);
     auto const counters = countersOf(observation);
     count(key, slotOf(now), counters);
-    for (auto const start : watched->second) {
+    for (auto const start : watched->second.startSlots) {
         if (-start <= Core::toUnixMilliseconds(now))
             count(key, start, counters);
     }
@@ -103,23 +109,27 @@
 {
     dropOld(now);
     EvidenceDelta delta;
-    auto const take = [&](bool wantsFailures) {
+    auto const rankOf = [&](Address const& address, Counters const& counters) {
+        if (counters.failures + counters.lost > 0)
+            return 0;
+        return isJudgedVersion(address.key) ? 1 : 2;
+    };
+    for (int rank = 0; rank <= 2; ++rank) {
         for (auto address = m_changed.begin(); address != m_changed.end() && delta.entries.size() < maxEntries;) {
             auto const counters = m_counters.find(*address);
-            if (counters != m_counters.end()) {
-                auto const hasFailures = counters->second.failures + counters->second.lost > 0;
-                if (hasFailures != wantsFailures) {
-                    ++address;
-                    continue;
-                }
-                delta.entries.push_back(
-                    { address->origin, address->originIncarnation, address->key, address->slot, counters->second });
+            if (counters == m_counters.end()) {
+                address = m_changed.erase(address);
+                continue;
+            }
+            if (rankOf(*address, counters->second) != rank) {
+                ++address;
+                continue;
             }
+            delta.entries.push_back(
+                { address->origin, address->originIncarnation, address->key, address->slot, counters->second });
             address = m_changed.erase(address);
         }
-    };
-    take(true);
-    take(false);
+    }
     return delta;
 }
 
@@ -168,13 +178,19 @@
     m_changed.insert(std::move(address));
 }
 
+bool Evidence::isJudgedVersion(EvidenceKey const& key) const
+{
+    auto const watched = m_watched.find(key.service);
+    return watched != m_watched.end() && watched->second.judgedVersions.contains(key.version);
+}
+
 bool Evidence::isSlotKept(std::string_view service, int64_t slot, WallTime now) const
 {
     auto const watched = m_watched.find(service);
     if (watched == m_watched.end())
         return false;
     if (slot <= 0)
-        return watched->second.contains(slot);
+        return watched->second.startSlots.contains(slot);
     return std::abs(slotOf(now) - slot) <= slotsKept;
 }
 
--- a/Libraries/LibMoves/Evidence.h
+++ b/Libraries/LibMoves/Evidence.h
@@ -31,8 +31,8 @@
     void record(Observation const&, Core::WallTime now);
     /// Entries that were new here are handed on by the next takeDelta().
     void merge(EvidenceDelta const&, Core::WallTime now);
-    /// What changed since the last call, entries with failures first, at most `maxEntries`; the rest stays for the
-    /// next.
+    /// What changed since the last call, at most `maxEntries`; the rest stays for the next. Entries with failures come
+    /// first, then those of versions that a move goes to.
     EvidenceDelta takeDelta(size_t maxEntries, Core::WallTime now);
     /// Marks everything as changed, for a daemon that joined later or after lost messages.
     void markAllChanged();
@@ -63,6 +63,7 @@
     };
 
     void count(EvidenceKey const&, int64_t slot, Counters const&);
+    bool isJudgedVersion(EvidenceKey const&) const;
     bool isSlotKept(std::string_view service, int64_t slot, Core::WallTime now) const;
     void dropOld(Core::WallTime now);
     void addSlots(
@@ -70,7 +71,13 @@
 
     std::string m_origin;
     uint64_t m_incarnation;
-    std::map<std::string, std::set<int64_t>, std::less<>> m_watched; ///< Service to the start slots of its moves.
+    /// What the moves of one service need.
+    struct Watched {
+        std::set<int64_t> startSlots;
+        std::set<std::string, std::less<>> judgedVersions;
+    };
+
+    std::map<std::string, Watched, std::less<>> m_watched; ///< By service.
     std::map<Address, Counters> m_counters;
     std::set<Address> m_changed;
     std::map<std::string, std::string, std::less<>> m_badMoves;
--- a/Libraries/LibMoves/EvidenceKey.h
+++ b/Libraries/LibMoves/EvidenceKey.h
@@ -6,7 +6,8 @@
 
 namespace Comfreysail::Moves {
 
-/// What counts are kept by. Targets are kept as hashes: only their difference matters, and names cost budget.
+/// What counts are kept by. Targets are kept as hashes: only their difference matters, and names cost budget. The hash
+/// is 0 for versions that no move goes to.
 struct EvidenceKey {
     std::string service;
     std::string version;
--- a/Libraries/LibMoves/Judge.cpp
+++ b/Libraries/LibMoves/Judge.cpp
@@ -1,6 +1,7 @@
 #include <LibMoves/Judge.h>
 #include <algorithm>
 #include <cmath>
+#include <functional>
 #include <set>
 
 namespace Comfreysail::Moves {
@@ -21,10 +22,11 @@
 constexpr double slowDifference = 1.0;
 constexpr double slowLowerBound = 0.58;
 constexpr double slowDeviations = 4.5;
-constexpr uint64_t minimumTimed = 10;
+constexpr uint64_t minimumTimed = 8;
 constexpr double logLatencyScale = 16;
 
 struct Sample {
+    std::string route;
     std::string zone;
     uint32_t target { 0 };
     Counters counters;
@@ -87,10 +89,10 @@
         auto const* own = zone(name);
         return std::min(0.95, std::max(toleratedFailureRate, toleratedRatio * failureRate(own ? *own : all)));
     }
-    bool isHealthy(std::string const& name) const
+    bool isHealthy(std::string const& name, double rate) const
     {
         auto const* own = zone(name);
-        return own && failureRate(*own) < healthyFailureRate;
+        return own && failureRate(*own) < rate;
     }
 };
 
@@ -118,15 +120,23 @@
     return rest;
 }
 
+/// Whether counts of the two versions cover the same moments.
+enum class Window : uint8_t {
+    Recent,
+    SinceStart, ///< The new version's calls are later ones, so a zone's fault weighs more on it than on the old one.
+};
+
+using IsHealthy = std::function<bool(std::string const& zone)>;
+
 /// Leaves out the zone with the highest score, unless the old version is healthy there.
-Samples withoutFaultyZone(Samples const& samples, Baseline const& baseline, double (*score)(Counters const&))
+Samples withoutFaultyZone(Samples const& samples, IsHealthy const& isHealthy, double (*score)(Counters const&))
 {
     std::map<std::string, Counters> zones;
     for (auto const& sample : samples)
         zones[sample.zone] += sample.counters;
     auto const worst = std::max_element(zones.begin(), zones.end(),
         [&](auto const& left, auto const& right) { return score(left.second) < score(right.second); });
-    if (worst == zones.end() || baseline.isHealthy(worst->first))
+    if (worst == zones.end() || isHealthy(worst->first))
         return samples;
     auto rest = samples;
     if (zones.size() > 1) {
@@ -142,10 +152,11 @@
 double failuresScore(Counters const& counters) { return static_cast<double>(counters.failures + counters.lost); }
 double slownessScore(Counters const& counters) { return spreadOf(counters).mean; }
 
-std::optional<std::string> findFailures(Samples const& samples, Baseline const& baseline, unsigned targetCount)
+std::optional<std::string> findFailures(
+    Samples const& samples, Baseline const& baseline, IsHealthy const& isHealthy, unsigned targetCount)
 {
     auto const rest
-        = withoutFaultyZone(withoutWorstTargets(samples, targetCount, failuresScore), baseline, failuresScore);
+        = withoutFaultyZone(withoutWorstTargets(samples, targetCount, failuresScore), isHealthy, failuresScore);
     uint64_t calls = 0;
     uint64_t failures = 0;
     double expected = 0;
@@ -160,20 +171,25 @@
     return "failures=" + std::to_string(failures) + " calls=" + std::to_string(calls);
 }
 
-std::optional<std::string> findSlowness(Samples const& samples, Baseline const& baseline, unsigned targetCount)
+/// Compares inside each route and zone, since these differ in latency, and joins the differences.
+std::optional<std::string> findSlowness(Samples const& samples, std::map<std::string, Baseline> const& baselines,
+    IsHealthy const& isHealthy, unsigned targetCount)
 {
     auto const rest
-        = withoutFaultyZone(withoutWorstTargets(samples, targetCount, slownessScore), baseline, slownessScore);
-    std::map<std::string, Counters> zones;
+        = withoutFaultyZone(withoutWorstTargets(samples, targetCount, slownessScore), isHealthy, slownessScore);
+    std::map<std::pair<std::string, std::string>, Counters> strata;
     for (auto const& sample : rest)
-        zones[sample.zone] += sample.counters;
+        strata[{ sample.route, sample.zone }] += sample.counters;
     double count = 0;
     double difference = 0;
     double variance = 0;
-    for (auto const& [zone, counters] : zones) {
-        auto const* own = baseline.zone(zone);
+    for (auto const& [place, counters] : strata) {
+        auto const baseline = baselines.find(place.first);
+        if (baseline == baselines.end())
+            continue;
+        auto const* own = baseline->second.zone(place.second);
         auto const newer = spreadOf(counters);
-        auto const older = spreadOf(own ? *own : baseline.all);
+        auto const older = spreadOf(own ? *own : baseline->second.all);
         if (newer.count == 0 || older.count < static_cast<double>(minimumBaseline))
             continue;
         count += newer.count;
@@ -189,27 +205,41 @@
     return "slower_times=" + std::to_string(std::exp2(difference)).substr(0, 4);
 }
 
-std::optional<std::string> findFault(CountersByKey const& newer, CountersByKey const& older, unsigned targetCount)
+using Baselines = std::map<std::string, Baseline>;
+
+/// By route; the empty route name stands for all routes together.
+Baselines baselinesOf(CountersByKey const& older)
 {
-    // The empty route name stands for all routes together.
-    std::map<std::string, Samples> samplesByRoute;
-    std::map<std::string, Baseline> baselines;
-    for (auto const& [key, counters] : newer) {
-        samplesByRoute[key.route].push_back({ key.availabilityZone, key.target, counters });
-        samplesByRoute[""].push_back({ key.availabilityZone, key.target, counters });
-    }
+    Baselines baselines { { "", {} } };
     for (auto const& [key, counters] : older) {
         for (auto const& route : { key.route, std::string() }) {
             baselines[route].zones[key.availabilityZone] += counters;
             baselines[route].all += counters;
         }
     }
+    return baselines;
+}
+
+std::optional<std::string> findFault(
+    CountersByKey const& newer, Baselines baselines, Window window, Baseline const& recent, unsigned targetCount)
+{
+    std::map<std::string, Samples> samplesByRoute;
+    for (auto const& [key, counters] : newer) {
+        samplesByRoute[key.route].push_back({ key.route, key.availabilityZone, key.target, counters });
+        samplesByRoute[""].push_back({ key.route, key.availabilityZone, key.target, counters });
+    }
+    auto const isHealthyNow = [&](std::string const& zone) { return recent.isHealthy(zone, healthyFailureRate); };
     for (auto const& [route, samples] : samplesByRoute) {
         auto const& baseline = baselines[route];
-        auto fault = findFailures(samples, baseline, targetCount);
-        // Routes differ in latency, so their mixture says nothing about slowness.
-        if (!fault && !route.empty())
-            fault = findSlowness(samples, baseline, targetCount);
+        auto const isHealthy = [&](std::string const& zone) {
+            return isHealthyNow(zone) && (window == Window::Recent || baseline.isHealthy(zone, toleratedFailureRate));
+        };
+        auto fault = findFailures(samples, baseline, isHealthy, targetCount);
+        // A zone that became slow does not show in its failures.
+        auto const isNeverSlow
+            = [&](std::string const& zone) { return window == Window::Recent && isHealthyNow(zone); };
+        if (!fault)
+            fault = findSlowness(samples, baselines, isNeverSlow, targetCount);
         if (fault)
             return "route=" + (route.empty() ? "all" : route) + " " + *fault;
     }
@@ -225,11 +255,13 @@
     if (!move.isJudged() || move.isFinal() || now < move.start)
         return {};
     // The recent window finds a fault that began late, the whole one a fault that thin traffic shows slowly.
+    auto const recent = baselinesOf(evidence.recent(move.service, move.from, now));
     auto fault = findFault(
-        evidence.recent(move.service, move.to, now), evidence.recent(move.service, move.from, now), scope.targetCount);
+        evidence.recent(move.service, move.to, now), recent, Window::Recent, recent.at(""), scope.targetCount);
     if (!fault)
         fault = findFault(evidence.sinceStart(move.service, move.to, move.start),
-            evidence.sinceStart(move.service, move.from, move.start), scope.targetCount);
+            baselinesOf(evidence.sinceStart(move.service, move.from, move.start)), Window::SinceStart, recent.at(""),
+            scope.targetCount);
     if (!fault)
         return {};
     return { VerdictKind::Bad, "version=" + move.to + " " + *fault };
--- a/Libraries/LibMoves/Share.cpp
+++ b/Libraries/LibMoves/Share.cpp
@@ -19,7 +19,7 @@
 // Parts of the time between start and finish: the pace reaches the full share with time left for a verdict; traffic too
 // thin to prove anything moves anyway from `unprovenFrom` on.
 constexpr double paceEnds = 0.8;
-constexpr double unprovenFrom = 0.6;
+constexpr double unprovenFrom = 0.3;
 constexpr double unprovenEnds = 0.95;
 
 double paceAt(double progress) { return std::pow(firstShare, std::max(0.0, 1 - progress / paceEnds)); }
@@ -77,7 +77,7 @@
 unsigned targetLimitAt(double share, unsigned targetCount)
 {
     auto const needed = static_cast<unsigned>(std::ceil(std::clamp(share, 0.0, 1.0) * targetCount));
-    return std::min(std::max(needed, 2U), targetCount);
+    return std::min(std::max(needed, 3U), targetCount);
 }
 
 }
--- a/Libraries/LibMoves/Share.h
+++ b/Libraries/LibMoves/Share.h
@@ -18,7 +18,8 @@
 double shareAt(Move const&, Evidence const&, MoveScope const&, Core::WallTime now);
 
 /// How many targets of `to` may be used at a share: few while the share is small, so that each of them sees the load
-/// that it would have at the full share. At least two, since a fault of one target is not a fault of the version.
+/// that it would have at the full share. At least three: the worst is left out of the
+/// verdict, and the others must still show enough.
 unsigned targetLimitAt(double share, unsigned targetCount);
 
 }
