--- /dev/null
+++ b/Tests/LibMoves/TestEvidence.cpp
@@ -0,0 +1,108 @@
+#include "CallTable.h"
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <random>
+
+using namespace Comfreysail;
+using namespace Comfreysail::Moves;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr size_t everything = 100'000;
+
+Evidence watching(std::string origin, uint64_t incarnation = 1)
+{
+    Evidence evidence(std::move(origin), incarnation);
+    evidence.watch({ makeMove() });
+    return evidence;
+}
+
+CountersByKey sumOf(Evidence const& evidence) { return evidence.sinceStart("orders", "v2", startOfMove()); }
+
+}
+
+// Daemons compute the share without a leader; messages that come twice or in another order must not make them differ.
+TEST_CASE("Evidence_DeltasReorderedDuplicatedAndLate_GiveTheSameCounts")
+{
+    auto source = watching("vm-1");
+    std::vector<EvidenceDelta> deltas;
+    auto now = startOfMove();
+    for (int round = 0; round < 20; ++round) {
+        now += 200ms;
+        recordCalls(source, { { "v2", 1, "arima", 3, 1 }, { "v2", 2, "arima", 5 } }, now);
+        deltas.push_back(source.takeDelta(everything, now));
+        if (round % 3 == 0)
+            deltas.push_back(deltas.front());
+    }
+    for (uint64_t seed = 1; seed <= 5; ++seed) {
+        std::shuffle(deltas.begin(), deltas.end(), std::mt19937_64(seed));
+        auto receiver = watching("vm-2");
+        for (auto const& delta : deltas)
+            receiver.merge(delta, now);
+        CHECK(sumOf(receiver) == sumOf(source));
+        CHECK(receiver.recent("orders", "v2", now) == source.recent("orders", "v2", now));
+        auto const later = startOfMove() + 40s;
+        CHECK(shareAt(makeMove(), receiver, { 6, {} }, later) == shareAt(makeMove(), source, { 6, {} }, later));
+    }
+}
+
+// What one daemon sees must reach those that it does not send to.
+TEST_CASE("Evidence_MergedEntries_AreHandedOnOnce")
+{
+    auto first = watching("vm-1");
+    auto second = watching("vm-2");
+    auto third = watching("vm-3");
+    auto const now = startOfMove() + 1s;
+    recordCalls(first, { { "v2", 1, "arima", 3 } }, now);
+    second.merge(first.takeDelta(everything, now), now);
+    third.merge(second.takeDelta(everything, now), now);
+    CHECK(sumOf(third) == sumOf(first));
+    first.merge(third.takeDelta(everything, now), now);
+    CHECK(first.takeDelta(everything, now).entries.empty());
+    CHECK(second.takeDelta(everything, now).entries.empty());
+}
+
+// A restarted daemon counts from zero; its former counts are true all the same.
+TEST_CASE("Evidence_OriginRestarts_KeepsBothCounts")
+{
+    auto receiver = watching("vm-9");
+    auto const now = startOfMove() + 1s;
+    for (uint64_t incarnation : { 1, 2 }) {
+        auto origin = watching("vm-1", incarnation);
+        recordCalls(origin, { { "v2", 1, "arima", 4 } }, now);
+        receiver.merge(origin.takeDelta(everything, now), now);
+    }
+    CHECK(sumOf(receiver).begin()->second.successes == 8);
+}
+
+// With a full budget, failures must not wait behind successes, nor the new version behind the old one.
+TEST_CASE("Evidence_BoundedDelta_SendsFailuresFirstAndLosesNothing")
+{
+    auto evidence = watching("vm-1");
+    auto const now = startOfMove() + 1s;
+    recordCalls(evidence, { { "v1", 0, "arima", 9 }, { "v2", 1, "arima", 9 }, { "v2", 2, "arima", 0, 1 } }, now);
+    auto const first = evidence.takeDelta(2, now);
+    REQUIRE(first.entries.size() == 2);
+    CHECK(first.entries[0].counters.failures == 1);
+    CHECK(first.entries[1].counters.failures == 1);
+    auto const second = evidence.takeDelta(2, now);
+    REQUIRE(second.entries.size() == 2);
+    CHECK(second.entries[0].key.version == "v2");
+    CHECK(evidence.takeDelta(everything, now).entries.size() == 2);
+}
+
+// Services without a move must cost nothing, and a new move must not be judged by the evidence of a former one.
+TEST_CASE("Evidence_WithoutARunningMove_IsNotKept")
+{
+    auto evidence = watching("vm-1");
+    recordCalls(evidence, { { "v2", 1, "arima", 9, 9 } }, startOfMove() + 1s);
+    auto next = makeMove();
+    next.start += 50s;
+    evidence.watch({ next });
+    CHECK(evidence.sinceStart("orders", "v2", next.start).empty());
+    auto done = makeMove();
+    done.state = MoveState::Done;
+    evidence.watch({ done });
+    CHECK(evidence.entryCount() == 0);
+}
