--- a/Services/comfreysaild/GroupDispatcher.cpp
+++ b/Services/comfreysaild/GroupDispatcher.cpp
@@ -37,7 +37,7 @@
     std::optional<Result<Dispatched>> result; ///< Guarded by the dispatcher's mutex.
 };
 
-GroupDispatcher::GroupDispatcher(Routing::GroupKey key, std::vector<Routing::Target> targets,
+GroupDispatcher::GroupDispatcher(Routing::GroupKey key, std::vector<Routing::Target> const& targets,
     Routing::GroupOptions groupOptions, Admission::AdmissionOptions admissionOptions, Instant now)
     : m_key(key)
     , m_group(std::move(key), targets, groupOptions, now)
--- a/Services/comfreysaild/GroupDispatcher.h
+++ b/Services/comfreysaild/GroupDispatcher.h
@@ -23,8 +23,8 @@
 /// resumed on their own strands; no lock is held while one waits.
 class GroupDispatcher : public std::enable_shared_from_this<GroupDispatcher> {
 public:
-    GroupDispatcher(Routing::GroupKey, std::vector<Routing::Target>, Routing::GroupOptions, Admission::AdmissionOptions,
-        Core::Instant now);
+    GroupDispatcher(Routing::GroupKey, std::vector<Routing::Target> const&, Routing::GroupOptions,
+        Admission::AdmissionOptions, Core::Instant now);
 
     Routing::GroupKey const& key() const { return m_key; }
 
--- a/Tests/LibHTTP/TestServer.cpp
+++ b/Tests/LibHTTP/TestServer.cpp
@@ -34,7 +34,7 @@
 /// A server on its own threads that answers with the body of the request.
 class EchoServer {
 public:
-    explicit EchoServer(ServerOptions options = {})
+    explicit EchoServer(ServerOptions const& options = {})
         : m_server(Server::create(m_context, options, echo))
     {
         REQUIRE_FALSE(isError(m_server->start()));
--- a/Tests/comfreysaild/TestRequestPath.cpp
+++ b/Tests/comfreysaild/TestRequestPath.cpp
@@ -163,10 +163,10 @@
         { "two responses", wholeResponse("wrong") },
         { "extra bytes", "garbage" },
     };
-    for (auto const& [name, extra] : rows) {
-        INFO(name);
+    for (auto const& row : rows) {
+        INFO(row.first);
         ScriptedTarget target([&](RawConnection& connection, std::string const& head) {
-            connection.send(wholeResponse(ownPath(head)) + extra);
+            connection.send(wholeResponse(ownPath(head)) + row.second);
             return true;
         });
         DaemonProcess const daemon({ .targets = { { target.port() } } });
