--- a/Services/comfreysaild/AdminServer.cpp
+++ b/Services/comfreysaild/AdminServer.cpp
@@ -80,11 +80,11 @@
 {
     boost::json::object status;
     auto const settings = m_services.controlPlane.settings();
-    status["vm_name"] = m_services.settings.vmName;
+    status["name"] = m_services.settings.vmName;
     status["availability_zone"] = m_services.settings.availabilityZone;
     status["version"] = COMFREYSAIL_VERSION;
     status["ready"] = m_isReady();
-    status["settings_revision"] = settings ? settings->revision.revision : 0;
+    status["revision"] = settings ? settings->revision.revision : 0;
     status["active_requests"] = m_services.activeRequests.load();
     boost::json::array members;
     for (auto const& member : *m_services.controlPlane.liveMembers())
