LibWire: Carry crash reports and empty move lists

Daemons name a crashed target instance as 'target@time', which the decoder refused as an invalid target name, so no crash report ever reached a peer. A list of moves without rows was encoded without a body and refused as well.

Change: the decoder checks the form of an instance, and an empty list of moves keeps its body.

Conclusion: the two codecs agree with what the daemon sends.

--- a/Libraries/LibWire/Codec.cpp
+++ b/Libraries/LibWire/Codec.cpp
@@ -56,8 +56,9 @@
     }
     void operator()(MoveRows const& body) const
     {
+        auto& rows = *envelope.mutable_move_rows();
         for (auto const& row : body.rows) {
-            auto& encoded = *envelope.mutable_move_rows()->add_rows();
+            auto& encoded = *rows.add_rows();
             encoded.set_move(row.move);
             encoded.set_row_version(row.rowVersion);
             encoded.set_json(row.json);
@@ -66,6 +67,17 @@
     void operator()(DrainNotice const& body) const { envelope.mutable_drain_notice()->set_is_leaving(body.isLeaving); }
 };
 
+/// A target name, '@', and the Unix time of the first send to the instance in milliseconds.
+bool isTargetInstance(std::string_view text)
+{
+    auto const separator = text.find('@');
+    if (separator == std::string_view::npos || !Core::isValidName(text.substr(0, separator)))
+        return false;
+    constexpr size_t maxDigits = 20;
+    auto const time = text.substr(separator + 1);
+    return !time.empty() && time.size() <= maxDigits && time.find_first_not_of("0123456789") == std::string_view::npos;
+}
+
 Core::Result<Body> decodeBody(Protobuf::Envelope const& envelope)
 {
     using Envelope = Protobuf::Envelope;
@@ -99,8 +111,8 @@
     }
     case Envelope::kCrashReport: {
         auto const& report = envelope.crash_report();
-        if (!Core::isValidName(report.target()))
-            return malformed("crash report with an invalid target name");
+        if (!isTargetInstance(report.target()))
+            return malformed("crash report with an invalid target instance");
         return Body { CrashReport { report.fingerprint(), report.target() } };
     }
     case Envelope::kMoveVerdict: {
