--- a/Tests/LibMembership/TestMemberTable.cpp
+++ b/Tests/LibMembership/TestMemberTable.cpp
@@ -65,6 +65,23 @@
     CHECK(cluster.agreeing() == 13);
 }
 
+// Copies of old heartbeats that are still under way must not keep a dead member alive.
+TEST_CASE("MemberTable_OldHeartbeatsRepeated_DoNotKeepADeadMemberAlive")
+{
+    auto now = Core::Instant(1h);
+    MemberTable table({ "vm-0", 1, "arima", "10.0.0.1", 80, 90 }, {}, now);
+    Heartbeat heartbeat;
+    heartbeat.sender = { { "vm-1", 5, "arima", "10.0.0.2", 80, 90 }, 1000 };
+    (void)table.merge(heartbeat, now);
+    for (int copy = 0; copy < 8; ++copy) {
+        now += 500ms;
+        heartbeat.sender.beat = copy % 2 == 0 ? 999 : 1000;
+        (void)table.tick(now);
+        (void)table.merge(heartbeat, now);
+    }
+    CHECK(table.live(now).size() == 1);
+}
+
 // Stopped connections between two daemons must not make one look dead to the other while the rest can hear both.
 TEST_CASE("MemberTable_SilentConnectionBetweenTwoPeers_SuspectsNobody")
 {
