--- a/Services/comfreysaild/ControlPlaneImplementation.cpp
+++ b/Services/comfreysaild/ControlPlaneImplementation.cpp
@@ -229,10 +229,10 @@
     m_transport.send(endpoint, { m_options.name, m_table.self().incarnation, ++m_sequence, std::move(body) });
 }
 
-void ControlPlane::Implementation::send(Heartbeats heartbeats)
+void ControlPlane::Implementation::send(Heartbeats const& heartbeats)
 {
-    for (auto& [endpoint, heartbeat] : heartbeats)
-        send(endpoint, std::move(heartbeat));
+    for (auto const& [endpoint, heartbeat] : heartbeats)
+        send(endpoint, heartbeat);
 }
 
 void ControlPlane::Implementation::sendToOverlay(Wire::Body const& body)
--- a/Services/comfreysaild/ControlPlaneImplementation.h
+++ b/Services/comfreysaild/ControlPlaneImplementation.h
@@ -56,7 +56,7 @@
     void publish();
 
     void send(std::string const& endpoint, Wire::Body);
-    void send(Heartbeats);
+    void send(Heartbeats const&);
     void sendToOverlay(Wire::Body const&);
     void sendToAll(Wire::Body const&);
 
--- a/Services/comfreysaild/ControlView.cpp
+++ b/Services/comfreysaild/ControlView.cpp
@@ -4,7 +4,6 @@
 namespace Comfreysail::Daemon {
 
 using Moves::MoveKind;
-using Moves::MoveState;
 
 namespace {
 
--- a/Tests/LibPeers/TestTransport.cpp
+++ b/Tests/LibPeers/TestTransport.cpp
@@ -53,7 +53,7 @@
 
 /// A transport that keeps what it receives.
 struct Inbox {
-    explicit Inbox(TransportOptions options)
+    explicit Inbox(TransportOptions const& options)
         : transport(options, [this](Wire::Message message) {
             std::scoped_lock const lock(mutex);
             messages.push_back(std::move(message));
