--- a/Tests/LibMoves/TestEvidence.cpp
+++ b/Tests/LibMoves/TestEvidence.cpp
@@ -55,11 +55,13 @@
     auto third = watching("vm-3");
     auto const now = startOfMove() + 1s;
     recordCalls(first, { { "v2", 1, "arima", 3 } }, now);
-    second.merge(first.takeDelta(everything, now), now);
+    auto const delta = first.takeDelta(everything, now);
+    second.merge(delta, now);
     third.merge(second.takeDelta(everything, now), now);
     CHECK(sumOf(third) == sumOf(first));
     first.merge(third.takeDelta(everything, now), now);
     CHECK(first.takeDelta(everything, now).entries.empty());
+    second.merge(delta, now);
     CHECK(second.takeDelta(everything, now).entries.empty());
 }
 
--- a/Tests/LibMoves/TestJudge.cpp
+++ b/Tests/LibMoves/TestJudge.cpp
@@ -103,6 +103,9 @@
         { { "v1", 0, "arima", 0, 100 }, { "v1", 0, "tunapuna", 100 }, { "v2", 1, "arima", 0, 50 },
             { "v2", 2, "arima", 0, 50 }, { "v2", 3, "tunapuna", 100 } },
         startOfMove() + 50s);
+    // The zone recovers; the failures stay in the counts since the start.
+    recordCalls(evidence, { { "v1", 0, "arima", 100 }, { "v1", 0, "tunapuna", 100 }, { "v2", 1, "arima", 20 } },
+        startOfMove() + 59s);
     for (auto const later : { 1s, 3s, 9s, 30s })
         CHECK(judge(makeMove(), evidence, { 6, {} }, startOfMove() + 50s + later).kind == VerdictKind::Undecided);
 }
--- a/Tests/LibWire/TestCodec.cpp
+++ b/Tests/LibWire/TestCodec.cpp
@@ -86,6 +86,13 @@
         { "evidence count", [](Envelope& envelope) { envelope.mutable_evidence_delta()->add_entries(0); } },
         { "evidence index",
             [](Envelope& envelope) {
+                envelope.mutable_evidence_delta()->add_names("orders");
+                envelope.mutable_evidence_delta()->add_slots(1);
+                envelope.mutable_evidence_delta()->add_slots(2);
+                for (int origin = 0; origin < 2; ++origin) {
+                    envelope.mutable_evidence_delta()->add_origins("vm-1");
+                    envelope.mutable_evidence_delta()->add_origin_incarnations(1);
+                }
                 for (int index = 0; index < 14; ++index)
                     envelope.mutable_evidence_delta()->add_entries(1);
             } },
