Tests: Format the codec table

Cause: the format check fails on a line of TestCodec.cpp that is longer than 120 columns.

Change: the line is broken.

Conclusion: no other file differs.

--- a/Tests/LibWire/TestCodec.cpp
+++ b/Tests/LibWire/TestCodec.cpp
@@ -20,8 +20,8 @@
     Moves::EvidenceDelta evidence { { { "vm-1", 77, key, -1'800'000'000'000, { 1, 2, 3, 4, 5, 6, 7 } },
         { "vm-2", 3, key, 1'800'000'000, { 9, 0, 0, 0, 0, 0, ~uint64_t { 0 } } } } };
     return { heartbeat, SettingsRequest { 3 }, SettingsReply { 4, "change", "hash", "[defaults]\n" },
-        LoadReport { "orders", "arima", 1, 2, 3, 4 }, CrashReport { ~uint64_t { 0 }, "target-1@1796380109479" }, evidence,
-        MoveVerdict { "m1", "route=submit" }, DrainNotice { true }, MoveRows { { { "m1", 3, "{}" } } },
+        LoadReport { "orders", "arima", 1, 2, 3, 4 }, CrashReport { ~uint64_t { 0 }, "target-1@1796380109479" },
+        evidence, MoveVerdict { "m1", "route=submit" }, DrainNotice { true }, MoveRows { { { "m1", 3, "{}" } } },
         MoveRows {}, Moves::EvidenceDelta {} };
 }
 
