Tests: Name target instances in crash reports as the daemon does

Cause: two tests sent crash reports with a plain target name, the form that no daemon uses, so they did not notice that the real form was refused.

Change: both use the form that CrashTracker produces.

Conclusion: the wire contract is tested in the form that is sent.

--- a/Benchmarks/Capacity/Settings.cpp
+++ b/Benchmarks/Capacity/Settings.cpp
@@ -3,6 +3,7 @@
 #include <LibSettings/Settings.h>
 #include <cstdio>
 #include <cstdlib>
+#include <sstream>
 
 namespace Comfreysail::Capacity {
 
@@ -10,32 +11,34 @@
 
 constexpr size_t zones = 11;
 
+void appendService(std::ostream& toml, size_t service, size_t firstTarget, size_t endTarget)
+{
+    auto const name = "service-" + std::to_string(service);
+    toml << "[services." << name << "]\nhosts = [\"" << name << "\"]\n"
+         << "[services." << name
+         << ".routes.lookup]\nmethod = \"GET\"\npath_prefix = \"/\"\nclass = \"lookup\"\nidempotent = true\n"
+         << "[services." << name
+         << ".routes.order]\nmethod = \"POST\"\npath_prefix = \"/orders\"\nclass = \"order\"\nidempotent = false\n"
+         << "[services." << name << ".versions.v1]\ntargets = [\n";
+    for (auto target = firstTarget; target < endTarget; ++target)
+        toml << "  { name = \"t" << target << "\", address = \"10.0." << target / 250 << '.' << target % 250 + 1
+             << "\", port = 9000, availability_zone = \"zone-" << target % zones << "\", slots = 2 },\n";
+    toml << "]\n";
+}
+
 /// A tree in the proportions of the two-year size: 13.3 targets and 3 departments for each service, 11 zones.
 std::string makeTree(size_t services)
 {
-    std::string toml = "[defaults]\ntimeout_ms = 2000\nweight = 1\n";
+    std::ostringstream toml;
+    toml << "[defaults]\ntimeout_ms = 2000\nweight = 1\n";
     for (size_t zone = 0; zone < zones; ++zone)
-        toml += "[availability_zones.zone-" + std::to_string(zone) + "]\nstate = \"in\"\nregion = \"region-"
-            + std::to_string(zone % 4) + "\"\n";
-    size_t target = 0;
+        toml << "[availability_zones.zone-" << zone << "]\nstate = \"in\"\nregion = \"region-" << zone % 4 << "\"\n";
     for (size_t service = 0; service < services; ++service) {
-        auto const name = "service-" + std::to_string(service);
-        toml += "[services." + name + "]\nhosts = [\"" + name + "\"]\n";
-        toml += "[services." + name
-            + ".routes.lookup]\nmethod = \"GET\"\npath_prefix = \"/\"\nclass = \"lookup\"\nidempotent = true\n";
-        toml += "[services." + name
-            + ".routes.order]\nmethod = \"POST\"\npath_prefix = \"/orders\"\nclass = \"order\"\nidempotent = false\n";
-        toml += "[services." + name + ".versions.v1]\ntargets = [\n";
-        auto const end = (service + 1) * 40 / 3;
-        for (; target < end; ++target)
-            toml += "  { name = \"t" + std::to_string(target) + "\", address = \"10.0." + std::to_string(target / 250)
-                + "." + std::to_string(target % 250 + 1) + "\", port = 9000, availability_zone = \"zone-"
-                + std::to_string(target % zones) + "\", slots = 2 },\n";
-        toml += "]\n";
+        appendService(toml, service, service * 40 / 3, (service + 1) * 40 / 3);
         for (size_t department = 0; department < 3; ++department)
-            toml += "[departments.d" + std::to_string(service * 3 + department) + "]\nweight = 2\n";
+            toml << "[departments.d" << service * 3 + department << "]\nweight = 2\n";
     }
-    return toml;
+    return toml.str();
 }
 
 Settings::SettingsTreePointer parseOrExit(std::string const& toml)
--- a/Tests/ControlPlane/TestControlPlane.cpp
+++ b/Tests/ControlPlane/TestControlPlane.cpp
@@ -195,6 +195,6 @@
     Node first("vm-1", store, {}, events);
     Node second("vm-2", store, { first.endpoint() });
     REQUIRE(soon([&] { return second.plane.liveMembers()->size() == 2; }));
-    second.plane.reportCrash({ 42, "t1" });
+    second.plane.reportCrash({ 42, "t1@1796380109479" });
     CHECK(soon([&] { return fingerprint == 42; }));
 }
--- a/Tests/LibPeers/TestTransport.cpp
+++ b/Tests/LibPeers/TestTransport.cpp
@@ -90,10 +90,12 @@
     Inbox receiver({ .port = port });
     Inbox sender({ .port = freePort() });
     for (uint64_t sequence = 0; sequence < 50; ++sequence)
-        sender.transport.send(endpointOf(port), messageOf(sequence, Wire::CrashReport { sequence, "target-1" }));
+        sender.transport.send(
+            endpointOf(port), messageOf(sequence, Wire::CrashReport { sequence, "target-1@1796380109479" }));
     REQUIRE(receiver.waitFor(50, 5s));
     for (uint64_t sequence = 0; sequence < 50; ++sequence)
-        CHECK(receiver.messages[sequence] == messageOf(sequence, Wire::CrashReport { sequence, "target-1" }));
+        CHECK(receiver.messages[sequence]
+            == messageOf(sequence, Wire::CrashReport { sequence, "target-1@1796380109479" }));
     CHECK(sender.transport.counters().sentMessages == 50);
     CHECK(receiver.transport.counters().receivedMessages == 50);
 }
