comfreysaild: Resume downloads in another availability zone

The resumed request could only go to another target of the same group, and there was none.

Change: when the group has no other target, the daemon chooses a group of another zone and sends to it itself. Tests of LibHTTP and the daemon are named by subject, condition and result.

Conclusion: a download is cut only when no target of its version is left in any zone.

--- a/Services/comfreysaild/TargetSender.cpp
+++ b/Services/comfreysaild/TargetSender.cpp
@@ -275,8 +275,9 @@
     // Downloads may take longer than any deadline that makes sense for the head; a stalled body still ends them.
     if (context.classification.routeClass == Settings::RouteClass::Download)
         context.deadlineWatchdog->disarm();
+    SendPlace place { choice, dispatched };
     auto resumeBody = [&](Upstream& lost, ResumableBody const& rest) -> awaitable<bool> {
-        return resume(context, choice, dispatched, lost, rest);
+        return resume(context, place, lost, rest);
     };
     upstream.head.fields.set(targetHeader, dispatched.pick.target);
     auto callerHead = headForCaller(context, upstream.head, mayHaveRunBefore);
@@ -287,13 +288,19 @@
     else if (end == RelayEnd::CallerGone)
         outcome = context.stopSignal.reason() == ErrorKind::DeadlineExceeded ? SendOutcome::TimedOut
                                                                              : SendOutcome::Cancelled;
-    reportEvidence(context, choice, dispatched, outcome, hint);
-    choice.dispatcher->noteSendEnded(dispatched, outcome, hint, Core::monotonicNow());
+    reportEvidence(context, place.choice, place.dispatched, outcome, hint);
+    place.choice.dispatcher->noteSendEnded(place.dispatched, outcome, hint, Core::monotonicNow());
+    if (place.isAdmittedForResume) {
+        place.choice.dispatcher->finish(place.dispatched, Core::monotonicNow());
+        dispatched.isSendOpen = false;
+    } else {
+        dispatched = place.dispatched;
+    }
     co_return ForwardEnd {};
 }
 
-awaitable<bool> TargetSender::resume(RequestContext& context, GroupChoice const& choice, Dispatched& dispatched,
-    Upstream& upstream, ResumableBody const& rest)
+awaitable<bool> TargetSender::resume(
+    RequestContext& context, SendPlace& place, Upstream& upstream, ResumableBody const& rest)
 {
     bool const isDownload = context.classification.routeClass == Settings::RouteClass::Download;
     while (true) {
@@ -303,18 +310,15 @@
             context.classification.deadline = now + context.classification.settings.timeout;
         if (!decideRetry(context, { ErrorKind::ConnectionLost, {} }).shouldRetry)
             co_return false;
-        context.failedTargets.push_back(dispatched.pick.target);
-        auto next = choice.dispatcher->pickAgain(dispatched, pickRequestFor(m_services, context, choice, now), now);
-        if (isError(next))
+        bool const isSelected = co_await selectNext(context, place);
+        if (!isSelected)
             co_return false;
-        choice.dispatcher->noteSendEnded(dispatched, SendOutcome::ConnectionLost, {}, now);
-        dispatched = valueOf(next);
         ++context.attempt;
         auto head = headForTarget(context, startByOf(context, now), now);
         rest.addTo(head.fields);
         if (isDownload)
             armDeadline(context);
-        auto sent = co_await sendTo(context, choice, dispatched, std::move(head));
+        auto sent = co_await sendTo(context, place.choice, place.dispatched, std::move(head));
         if (isDownload)
             context.deadlineWatchdog->disarm();
         if (context.stopSignal.reason())
@@ -327,6 +331,32 @@
     }
 }
 
+awaitable<bool> TargetSender::selectNext(RequestContext& context, SendPlace& place)
+{
+    auto const now = Core::monotonicNow();
+    auto& dispatcher = *place.choice.dispatcher;
+    context.failedTargets.push_back(place.dispatched.pick.target);
+    auto next = dispatcher.pickAgain(place.dispatched, pickRequestFor(m_services, context, place.choice, now), now);
+    dispatcher.noteSendEnded(place.dispatched, SendOutcome::ConnectionLost, {}, now);
+    if (!isError(next)) {
+        place.dispatched = takeValue(std::move(next));
+        co_return true;
+    }
+    // This daemon sends to the other zone itself: the response head is out, so no other daemon can take over.
+    context.failedZones.push_back(place.choice.group.availabilityZone);
+    auto const elsewhere = chooseGroup(m_services, context);
+    if (isError(elsewhere))
+        co_return false;
+    auto const& choice = valueOf(elsewhere);
+    auto admitted = co_await choice.dispatcher->admit(context, pickRequestFor(m_services, context, choice, now));
+    if (isError(admitted))
+        co_return false;
+    if (place.isAdmittedForResume)
+        dispatcher.finish(place.dispatched, now);
+    place = { choice, takeValue(std::move(admitted)), true };
+    co_return true;
+}
+
 Retry::RetryDecision TargetSender::decideRetry(RequestContext const& context, Error const& error)
 {
     Retry::FailedAttempt attempt;
--- a/Services/comfreysaild/TargetSender.h
+++ b/Services/comfreysaild/TargetSender.h
@@ -18,6 +18,13 @@
     Core::Error error {};
 };
 
+/// The group and target that serve a request.
+struct SendPlace {
+    GroupChoice choice;
+    Dispatched dispatched;
+    bool isAdmittedForResume { false }; ///< Admitted by selectNext() to another group, and finished there.
+};
+
 /// Sends requests to the targets of a group: admission, target selection, retries, resumed downloads.
 class TargetSender {
 public:
@@ -33,7 +40,9 @@
     /// Gives up a response that was not read to its end, and the rest of the upload.
     HTTP::awaitable<void> endEarly(RequestContext&, Upstream&);
     HTTP::awaitable<Core::Error> takeShedResponse(RequestContext&, Upstream&);
-    HTTP::awaitable<bool> resume(RequestContext&, GroupChoice const&, Dispatched&, Upstream&, ResumableBody const&);
+    HTTP::awaitable<bool> resume(RequestContext&, SendPlace&, Upstream&, ResumableBody const&);
+    /// Ends the send that lost its connection and selects another target, if need be in another availability zone.
+    HTTP::awaitable<bool> selectNext(RequestContext&, SendPlace&);
     Retry::RetryDecision decideRetry(RequestContext const&, Core::Error const&);
     bool hasOtherZone(RequestContext&, GroupChoice const&);
     void noteClaim(RequestContext const&, Core::Error const&, bool mayHaveRun);
--- a/Tests/LibHTTP/TestConnectionPool.cpp
+++ b/Tests/LibHTTP/TestConnectionPool.cpp
@@ -63,7 +63,7 @@
 
 }
 
-TEST_CASE_METHOD(PoolFixture, "a connection with a whole response is used again", "[ConnectionPool]")
+TEST_CASE_METHOD(PoolFixture, "Pool_WholeResponse_ConnectionIsReused", "[ConnectionPool]")
 {
     ScriptedTarget const target(answering(wholeResponse("abc")));
     auto const connection = exchange(target);
@@ -76,7 +76,7 @@
     connection->close();
 }
 
-TEST_CASE_METHOD(PoolFixture, "a connection that could carry a wrong response is never used again", "[ConnectionPool]")
+TEST_CASE_METHOD(PoolFixture, "Pool_DoubtfulConnection_IsNeverReused", "[ConnectionPool]")
 {
     // Each of these would give the next caller bytes that belong to another request.
     std::vector<std::pair<std::string, ScriptedTarget::Script>> const rows {
@@ -97,8 +97,7 @@
     }
 }
 
-TEST_CASE_METHOD(
-    PoolFixture, "a request that must not run twice gets only a recently used connection", "[ConnectionPool]")
+TEST_CASE_METHOD(PoolFixture, "Pool_NonIdempotentRequest_GetsRecentConnection", "[ConnectionPool]")
 {
     ScriptedTarget const target(answering(wholeResponse("abc")));
     auto const connection = exchange(target);
@@ -110,8 +109,7 @@
     connection->close();
 }
 
-TEST_CASE_METHOD(
-    PoolFixture, "old connections are closed when a newer one works while an old one is silent", "[ConnectionPool]")
+TEST_CASE_METHOD(PoolFixture, "Pool_SilentConnection_RetiresOlderOnes", "[ConnectionPool]")
 {
     ScriptedTarget const target(answering(wholeResponse("abc")));
     auto const idle = exchange(target);
--- a/Tests/LibHTTP/TestHeadCheck.cpp
+++ b/Tests/LibHTTP/TestHeadCheck.cpp
@@ -20,7 +20,7 @@
 
 }
 
-TEST_CASE("a request head that two parsers may read differently is refused", "[HeadCheck]")
+TEST_CASE("HeadCheck_AmbiguousHead_IsRefused", "[HeadCheck]")
 {
     // Each row is a request smuggling input: forwarding it could make a target see another request than the daemon.
     std::vector<std::pair<std::string, std::string>> const rows {
@@ -61,14 +61,14 @@
     }
 }
 
-TEST_CASE("a valid request head is accepted", "[HeadCheck]")
+TEST_CASE("HeadCheck_ValidHead_IsAccepted", "[HeadCheck]")
 {
     CHECK(isAccepted(start + "\r\n"));
     CHECK(isAccepted(start + "Content-Length: 3\r\nX: a b\tc\r\n\r\n"));
     CHECK(isAccepted(start + "Transfer-Encoding: Chunked\r\nEmpty:\r\n\r\n"));
 }
 
-TEST_CASE("a head that arrives byte by byte ends at the same place", "[HeadCheck]")
+TEST_CASE("HeadCheck_ByteByByte_EndsAtSamePlace", "[HeadCheck]")
 {
     // Guards against a scanner that loses a line end split between two receives.
     auto const head = start + "X: a\r\n\r\n";
@@ -81,7 +81,7 @@
     CHECK(valueOf(scanner.scan(head + "GET")) == head.size());
 }
 
-TEST_CASE("hop-by-hop fields are removed and fields that targets rely on are kept", "[Fields]")
+TEST_CASE("Fields_HopByHop_AreRemoved", "[Fields]")
 {
     Fields fields;
     for (auto const* name : { "Connection", "Keep-Alive", "TE", "Transfer-Encoding", "Upgrade", "X-Named", "X-Kept",
--- a/Tests/LibHTTP/TestServer.cpp
+++ b/Tests/LibHTTP/TestServer.cpp
@@ -61,7 +61,7 @@
 
 }
 
-TEST_CASE("a connection serves several requests, also pipelined ones", "[Server]")
+TEST_CASE("Server_PipelinedRequests_AreServedInOrder", "[Server]")
 {
     EchoServer const server;
     auto connection = server.connect();
@@ -75,7 +75,7 @@
     CHECK(response.body == "three");
 }
 
-TEST_CASE("a response to HEAD has the length but no body", "[Server]")
+TEST_CASE("Server_Head_HasLengthWithoutBody", "[Server]")
 {
     EchoServer const server;
     auto connection = server.connect();
@@ -97,7 +97,7 @@
     CHECK(connection.readResponse().body == "abc");
 }
 
-TEST_CASE("malformed input gets 400 and ends the connection", "[Server]")
+TEST_CASE("Server_MalformedInput_Gets400AndCloses", "[Server]")
 {
     EchoServer const server;
     std::vector<std::pair<std::string, std::string>> const rows {
@@ -116,7 +116,7 @@
     }
 }
 
-TEST_CASE("an invalid chunk size ends the connection without a response of the handler", "[Server]")
+TEST_CASE("Server_InvalidChunkSize_Closes", "[Server]")
 {
     EchoServer const server;
     for (std::string const size : { "g", "-1", "+3", "0x3", "", " 3", "ffffffffffffffffff" }) {
@@ -127,7 +127,7 @@
     }
 }
 
-TEST_CASE("a head above the limit gets 431", "[Server]")
+TEST_CASE("Server_HeadAboveLimit_Gets431", "[Server]")
 {
     EchoServer const server;
     auto connection = server.connect();
@@ -135,7 +135,7 @@
     CHECK(connection.readResponse().status() == 431);
 }
 
-TEST_CASE("a head that arrives too slowly ends the connection", "[Server]")
+TEST_CASE("Server_SlowHead_Closes", "[Server]")
 {
     ServerOptions options;
     options.headerTimeout = std::chrono::milliseconds(200);
@@ -151,7 +151,7 @@
     CHECK(std::chrono::steady_clock::now() - start < std::chrono::seconds(1));
 }
 
-TEST_CASE("an idle connection is closed on request and a busy one is not", "[Server]")
+TEST_CASE("Server_CloseIdle_KeepsBusyConnections", "[Server]")
 {
     EchoServer server;
     auto idle = server.connect();
--- a/Tests/comfreysaild/TestAdmin.cpp
+++ b/Tests/comfreysaild/TestAdmin.cpp
@@ -23,7 +23,7 @@
 
 }
 
-TEST_CASE("settings that the operators' tool hands over are adopted only when they are newer and valid", "[Admin]")
+TEST_CASE("Admin_PushedSettings_AreAdoptedWhenNewerAndValid", "[Admin]")
 {
     DaemonProcess const daemon({ .targets = { { 1 } } });
     auto const inForce = daemon.admin("/settings").body;
--- a/Tests/comfreysaild/TestHomeHop.cpp
+++ b/Tests/comfreysaild/TestHomeHop.cpp
@@ -36,7 +36,7 @@
 
 }
 
-TEST_CASE("a request goes to the home of its group, and is served locally when the home is gone", "[HomeHop]")
+TEST_CASE("HomeHop_HomeGone_IsServedLocally", "[HomeHop]")
 {
     ScriptedTarget target([](RawConnection& connection, std::string const&) {
         connection.send(wholeResponse("whole", "Comfreysail-Load: in_flight=0;limit=2;state=serving\r\n"));
--- a/Tests/comfreysaild/TestLifecycle.cpp
+++ b/Tests/comfreysaild/TestLifecycle.cpp
@@ -55,7 +55,7 @@
 
 }
 
-TEST_CASE("an interrupted download is resumed on another target", "[Download]")
+TEST_CASE("Download_Interrupted_IsResumedOnAnotherTarget", "[Download]")
 {
     for (std::string const secondTag : { "\"a\"", "\"b\"" }) {
         INFO(secondTag);
@@ -74,7 +74,21 @@
     }
 }
 
-TEST_CASE("a caller that reads slowly does not make the daemon buffer the download", "[Download]")
+// With one target in each zone, a download that lost its target had nowhere to go and was cut.
+TEST_CASE("Download_OnlyTargetOfZoneFails_IsResumedInAnotherZone", "[Download]")
+{
+    FileScript script { fileContent(), "\"a\"" };
+    auto const shared = [&](RawConnection& connection, std::string const& head) { return script(connection, head); };
+    ScriptedTarget first(shared);
+    ScriptedTarget second(shared);
+    DaemonProcess const daemon({ .targets = { { first.port(), 2, "pos-hall" }, { second.port(), 2, "arima" } } });
+    auto const response = daemon.call(request("GET", "/files/audio"));
+    CHECK(script.requests == 2);
+    CHECK(response.isComplete);
+    CHECK((response.body == script.content));
+}
+
+TEST_CASE("Download_SlowCaller_IsNotBuffered", "[Download]")
 {
     constexpr size_t size = 256UL * 1024 * 1024;
     ScriptedTarget target([](RawConnection& connection, std::string const&) {
@@ -97,7 +111,7 @@
     CHECK(daemon.residentKilobytes() < before + 8 * 1024);
 }
 
-TEST_CASE("the target connection is closed and the slot freed when the caller goes away", "[Cancellation]")
+TEST_CASE("Cancellation_CallerGone_FreesTheSlot", "[Cancellation]")
 {
     std::atomic<bool> wasClosed { false };
     ScriptedTarget target([&](RawConnection& connection, std::string const& head) {
@@ -117,7 +131,7 @@
     CHECK(daemon.call(request("GET", "/", "Comfreysail-Timeout-Ms: 1000\r\n")).body == "ok");
 }
 
-TEST_CASE("a request whose deadline passes in the queue is refused as not-run and never sent", "[Deadline]")
+TEST_CASE("Deadline_PassedInQueue_IsRefusedAndNeverSent", "[Deadline]")
 {
     std::atomic<bool> mayAnswer { false };
     ScriptedTarget target([&](RawConnection& connection, std::string const&) {
@@ -151,7 +165,7 @@
     CHECK(target.requests() == 2);
 }
 
-TEST_CASE("a graceful shutdown interrupts no request and refuses later ones as not-run", "[Shutdown]")
+TEST_CASE("Shutdown_RunningRequests_AreNotInterrupted", "[Shutdown]")
 {
     std::atomic<bool> mayAnswer { false };
     auto const script = [&](RawConnection& connection, std::string const& head) {
@@ -188,7 +202,7 @@
     CHECK(first.requests() + second.requests() == 2);
 }
 
-TEST_CASE("a queued request is finished during a graceful shutdown", "[Shutdown]")
+TEST_CASE("Shutdown_QueuedRequest_IsFinished", "[Shutdown]")
 {
     ScriptedTarget target([&](RawConnection& connection, std::string const&) {
         std::this_thread::sleep_for(200ms);
@@ -209,7 +223,7 @@
     CHECK(daemon.waitForExit() == 0);
 }
 
-TEST_CASE("a request that crashes targets is refused after the second crash", "[Quarantine]")
+TEST_CASE("Quarantine_SecondCrash_RefusesTheRequest", "[Quarantine]")
 {
     std::atomic<unsigned> crashes { 0 };
     auto const script = [&](RawConnection& connection, std::string const& head) {
--- a/Tests/comfreysaild/TestRefusals.cpp
+++ b/Tests/comfreysaild/TestRefusals.cpp
@@ -18,7 +18,7 @@
 
 }
 
-TEST_CASE("a request that cannot be served is refused as not-run and reaches no target", "[Refusals]")
+TEST_CASE("Refusal_InvalidRequest_ReachesNoTarget", "[Refusals]")
 {
     ScriptedTarget target([](RawConnection& connection, std::string const&) {
         connection.send(wholeResponse("ok"));
@@ -57,7 +57,7 @@
     CHECK(daemon.call(request("GET", "/")).body == "ok");
 }
 
-TEST_CASE("wrong command lines exit with 2 and name the option", "[CommandLine]")
+TEST_CASE("CommandLine_Wrong_ExitsWith2AndNamesOption", "[CommandLine]")
 {
     std::vector<std::pair<std::vector<std::string>, std::string>> const rows {
         { {}, "--settings FILE" },
@@ -77,14 +77,14 @@
     CHECK(runDaemonProgram({ "--version" }).output.starts_with("comfreysaild "));
 }
 
-TEST_CASE("the example settings file is valid", "[CommandLine]")
+TEST_CASE("DaemonSettings_Example_IsValid", "[CommandLine]")
 {
     auto const finished = runDaemonProgram({ "--check", COMFREYSAIL_SOURCE_DIR "/Services/comfreysaild/example.toml" });
     INFO(finished.output);
     CHECK(finished.exitCode == 0);
 }
 
-TEST_CASE("all faults of a settings file are reported at once with line, key and range", "[CommandLine]")
+TEST_CASE("DaemonSettings_ManyFaults_AreReportedAtOnce", "[CommandLine]")
 {
     auto const folder = makeTemporaryFolder();
     auto const path = folder / "daemon.toml";
--- a/Tests/comfreysaild/TestRequestPath.cpp
+++ b/Tests/comfreysaild/TestRequestPath.cpp
@@ -67,7 +67,7 @@
 
 }
 
-TEST_CASE("an order whose target fails gets a true outcome and is sent once", "[RequestPath]")
+TEST_CASE("Order_TargetFails_OutcomeIsTrueAndSentOnce", "[RequestPath]")
 {
     for (auto const& row : faultRows()) {
         INFO(row.name);
@@ -83,7 +83,7 @@
     }
 }
 
-TEST_CASE("an order to a target that accepts no connection is refused as not-run", "[RequestPath]")
+TEST_CASE("Order_ConnectRefused_IsNotRun", "[RequestPath]")
 {
     // The port is bound but no longer listens, so that nobody else can get it.
     auto const listener = listenOnFreePort();
@@ -95,7 +95,7 @@
     CHECK(response.field("Comfreysail-Outcome") == "not-run");
 }
 
-TEST_CASE("a not-run refusal after an earlier send that may have run says unknown", "[RequestPath]")
+TEST_CASE("Refusal_AfterEarlierSend_SaysUnknown", "[RequestPath]")
 {
     // PUT is idempotent here, so it is sent again; the first target may have run it, whatever the second one says.
     std::atomic<unsigned> sends { 0 };
@@ -114,7 +114,7 @@
     CHECK(response.field("Comfreysail-Outcome") == "unknown");
 }
 
-TEST_CASE("a lookup whose first target fails gets the whole response of another", "[RequestPath]")
+TEST_CASE("Lookup_FirstTargetFails_GetsWholeResponse", "[RequestPath]")
 {
     for (auto const& row : faultRows()) {
         if (row.name == "silent")
@@ -137,7 +137,7 @@
     }
 }
 
-TEST_CASE("a response that ends early is not ended as if it were complete", "[RequestPath]")
+TEST_CASE("Response_EndsEarly_IsNotShownAsComplete", "[RequestPath]")
 {
     std::vector<std::pair<std::string, std::string>> const rows {
         // A small body of known length is read before the head goes out; faultRows() has that case.
@@ -157,7 +157,7 @@
     }
 }
 
-TEST_CASE("every caller gets its own response when a target sends more than was asked for", "[RequestPath]")
+TEST_CASE("Response_ExtraBytes_ReachNoOtherCaller", "[RequestPath]")
 {
     // Bytes left on a connection would be taken for the response to the next request.
     auto const ownPath = [](std::string const& head) { return head.substr(4, head.find(' ', 4) - 4); };
@@ -181,7 +181,7 @@
     }
 }
 
-TEST_CASE("a late response is not given to the next caller", "[RequestPath]")
+TEST_CASE("Response_Late_ReachesNoOtherCaller", "[RequestPath]")
 {
     std::atomic<unsigned> sends { 0 };
     ScriptedTarget target([&](RawConnection& connection, std::string const&) {
@@ -201,7 +201,7 @@
     CHECK(target.connections() == 2);
 }
 
-TEST_CASE("a target that answers before it has read the body does not block the caller", "[RequestPath]")
+TEST_CASE("Response_BeforeBodyWasRead_ReachesCaller", "[RequestPath]")
 {
     ScriptedTarget target([](RawConnection& connection, std::string const&) {
         connection.send(wholeResponse("no room"));
@@ -218,7 +218,7 @@
     connection.reset();
 }
 
-TEST_CASE("a large body is streamed whole in both directions", "[RequestPath]")
+TEST_CASE("Body_Large_IsStreamedWhole", "[RequestPath]")
 {
     ScriptedTarget target([](RawConnection& connection, std::string const& head) {
         auto const lengthAt = head.find("Content-Length: ");
@@ -233,7 +233,7 @@
     CHECK((daemon.call(request("POST", "/orders", {}, body)).body == body));
 }
 
-TEST_CASE("hop-by-hop and daemon-only header fields of a caller do not reach the target", "[RequestPath]")
+TEST_CASE("Fields_DaemonOnly_DoNotReachTarget", "[RequestPath]")
 {
     ScriptedTarget target(sending(wholeResponse("ok"), true));
     DaemonProcess const daemon({ .targets = { { target.port() } } });
@@ -248,7 +248,7 @@
     CHECK(head.find("Comfreysail-Attempt: 1\r\n") != std::string::npos);
 }
 
-TEST_CASE("a repeated order with the same idempotency key reaches a target once", "[RequestPath]")
+TEST_CASE("Order_RepeatedKey_ReachesTargetOnce", "[RequestPath]")
 {
     ScriptedTarget target(sending(wholeResponse("done", {}, "201 Created"), true));
     DaemonProcess const daemon({ .targets = { { target.port() } } });
