--- a/Libraries/LibStore/SettingsHead.h
+++ b/Libraries/LibStore/SettingsHead.h
@@ -25,6 +25,7 @@
     static Core::Result<SettingsHead> fromJson(std::string_view json, std::string subject);
 };
 
-inline constexpr size_t maxInlineSettingsBytes = 64 * 1024;
+/// Every daemon reads the row each second, and all control of a daemon may use 29 KB/s; 64 KiB here would take up to 64 KB/s.
+inline constexpr size_t maxInlineSettingsBytes = 4 * 1024;
 
 }
--- a/Meta/Cluster/bench_capacity.py
+++ b/Meta/Cluster/bench_capacity.py
@@ -118,7 +118,7 @@
         adopt = self.cost("settings", "adopt_microseconds", SERVICES) * self.changes_per_second
         # The former snapshot lives until its last request has ended, so two exist at a time.
         yield "settings", adopt, 2 * (tree + self.cost("settings", "snapshot_bytes", SERVICES)), (
-            self.cost("settings", "transfer_bytes", SERVICES) * self.changes_per_second
+            tree * self.changes_per_second
         )
 
         yield (
