--- a/Libraries/LibStore/SettingsHead.h
+++ b/Libraries/LibStore/SettingsHead.h
@@ -25,7 +25,8 @@
     static Core::Result<SettingsHead> fromJson(std::string_view json, std::string subject);
 };
 
-/// Every daemon reads the row each second, and all control of a daemon may use 29 KB/s; 64 KiB here would take up to 64 KB/s.
+/// Every daemon reads the row each second, and all control of a daemon may use 29 KB/s; 64 KiB here would take up to 64
+/// KB/s.
 inline constexpr size_t maxInlineSettingsBytes = 4 * 1024;
 
 }
--- a/Meta/Cluster/bench_capacity.py
+++ b/Meta/Cluster/bench_capacity.py
@@ -5,6 +5,7 @@
 import os
 import subprocess
 import sys
+import time
 
 import cluster as cluster_module
 
@@ -61,6 +62,7 @@
     def body(cluster):
         cluster.slots = 64
         cluster.start_all({"orders": 4}, 4, ["--lookup-ms", "1"])
+        print_idle(cluster)
         points = []
         for number, rate in enumerate(options.rates):
             used = sum(daemon.cpu_seconds() for daemon in cluster.daemons)
@@ -83,6 +85,16 @@
     return per_call
 
 
+def print_idle(cluster):
+    """What real daemons use without calls: control and timers. The rows below do not contain the timers."""
+    seconds = 5
+    used = sum(daemon.cpu_seconds() for daemon in cluster.daemons)
+    time.sleep(seconds)
+    used = sum(daemon.cpu_seconds() for daemon in cluster.daemons) - used
+    percent = used / seconds / len(cluster.daemons) * 100
+    print(f"idle daemons={len(cluster.daemons)} groups=4 core_percent_per_daemon={percent:.2f}", flush=True)
+
+
 def slope(points):
     x_mean = sum(x for x, _ in points) / len(points)
     y_mean = sum(y for _, y in points) / len(points)
