--- a/Meta/run-tests.sh
+++ b/Meta/run-tests.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
-# Runs all tests. A test listed in KNOWN-RED.txt may fail; it is run and printed all the same.
+# Runs all tests, after printing the known failures. The only known failure is a bench, so no test is passed over.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 source Meta/common.sh
+[ -f KNOWN-RED.txt ] && grep -v '^#' KNOWN-RED.txt
 ctest --test-dir "$build_directory" --output-on-failure --no-tests=error -j 4
