--- a/Meta/run-tests.sh
+++ b/Meta/run-tests.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Runs all tests, after printing the known failures. The only known failure is a bench, so no test is passed over.
+# Runs all tests, after printing the known failures. The known failures are benches, so no test is passed over.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 source Meta/common.sh
