LibHTTP: Read answers that end with their connection, and pipelined bytes while watching

Cause: the users' targets may answer without a length, and callers pipeline; the bytes of a pipelined request hid the end of the caller's stream, so a caller that left was not noticed.

Ruled out: waiting for a hang-up event, which Asio does not offer.

Change: a response without a length ends with an orderly end of the connection; a reset leaves it short. The watch on the caller receives pipelined bytes up to 64 KiB. Targets of the settings tree must still state a length, as before.

--- a/Libraries/LibHTTP/Message.h
+++ b/Libraries/LibHTTP/Message.h
@@ -27,6 +27,8 @@
     Fields fields;
     std::optional<uint64_t> contentLength;
     bool chunked { false };
+    /// The body has no length of its own and ends where the connection ends (RFC 9112, 6.3).
+    bool endsWithConnection { false };
     bool keepAlive { true };
 
     bool operator==(ResponseHead const&) const = default;
--- a/Libraries/LibHTTP/MessageReader.cpp
+++ b/Libraries/LibHTTP/MessageReader.cpp
@@ -103,6 +103,12 @@
             if (stream.received.data().size() >= limits.maxHeaderBytes + bodyReadSize)
                 co_return Error { KindOfError<kind>::malformed, "a chunk header or trailer is too large" };
             auto const error = co_await stream.receive(bodyReadSize);
+            if (error == asio::error::eof && !isRequest && beast->need_eof()) {
+                // Only an orderly end completes such a body; a reset leaves it short.
+                ErrorCode ignored;
+                beast->put_eof(ignored);
+                break;
+            }
             if (error)
                 co_return Error { KindOfError<kind>::lost, error.message() };
         }
@@ -197,9 +203,7 @@
         head.chunked = m_state->beast->chunked();
         head.keepAlive = m_state->beast->keep_alive();
         bool const hasBody = !isHead && !statusForbidsBody(head.status);
-        if (hasBody && !head.chunked && !head.contentLength)
-            co_return Error { ErrorKind::InvalidTargetAnswer,
-                "the answer has neither Content-Length nor chunked Transfer-Encoding" };
+        head.endsWithConnection = hasBody && !head.chunked && !head.contentLength;
         co_return head;
     }
     co_return Error { ErrorKind::InvalidTargetAnswer, "the target sent too many interim answers" };
--- a/Libraries/LibHTTP/ServerExchange.cpp
+++ b/Libraries/LibHTTP/ServerExchange.cpp
@@ -10,6 +10,14 @@
 
 using Core::Result;
 
+namespace {
+
+constexpr size_t pipelinedReadSize = size_t { 4 } * 1024;
+// Bounds what one connection may hold back in memory; a caller that pipelines more is read on after its response.
+constexpr size_t maxPipelinedBytes = size_t { 64 } * 1024;
+
+}
+
 struct ServerExchange::Watch {
     asio::cancellation_signal signal;
     std::function<void()> onGone;
@@ -163,13 +171,24 @@
     stopWatching();
     m_watch = std::make_shared<Watch>();
     m_watch->onGone = std::move(onGone);
-    auto handler = [watch = m_watch, &stream = m_stream](ErrorCode error) {
+    awaitCallerBytes();
+}
+
+void ServerExchange::awaitCallerBytes()
+{
+    auto handler = [this, watch = m_watch](ErrorCode error) {
         if (watch->isStopped || error)
             return;
-        char byte = 0;
-        auto const count = ::recv(stream.socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        if (count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK))
+        auto const space = m_stream.received.prepare(pipelinedReadSize);
+        auto const count = ::recv(m_stream.socket.native_handle(), space.data(), space.size(), MSG_DONTWAIT);
+        if (count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK)) {
             watch->onGone();
+            return;
+        }
+        if (count > 0)
+            m_stream.received.commit(static_cast<size_t>(count));
+        if (m_stream.received.data().size() < maxPipelinedBytes)
+            awaitCallerBytes();
     };
     m_stream.socket.async_wait(tcp::socket::wait_read,
         asio::bind_cancellation_slot(m_watch->signal.slot(), asio::bind_executor(m_strand, std::move(handler))));
--- a/Libraries/LibHTTP/ServerExchange.h
+++ b/Libraries/LibHTTP/ServerExchange.h
@@ -55,8 +55,8 @@
     void abort();
 
     /// Calls `onGone` on the strand when the caller closes its connection, also when it closes only its sending side.
-    /// Only after the request body was read to its end.
-    /// FIXME: Not noticed while a pipelined request waits to be read, because its bytes hide the end of the stream.
+    /// Only after the request body was read to its end. Pipelined requests are received meanwhile, up to a bound, since
+    /// their bytes would hide the end of the stream.
     void watchCaller(std::function<void()> onGone);
     void stopWatching();
 
@@ -72,6 +72,7 @@
 
     awaitable<bool> write(std::string_view first, std::string_view second = {}, std::string_view third = {});
     bool sendsBody() const;
+    void awaitCallerBytes();
 
     Stream& m_stream;
     RequestReader& m_reader;
--- a/Services/comfreysaild/UpstreamClient.cpp
+++ b/Services/comfreysaild/UpstreamClient.cpp
@@ -80,6 +80,9 @@
         }
         Upstream upstream { connection, {} };
         auto received = co_await connection->readHead(head.method);
+        // A target of the settings tree has to say where its answer ends, so that a truncated one is noticed.
+        if (!isError(received) && valueOf(received).endsWithConnection)
+            received = Error { ErrorKind::InvalidTargetAnswer, "the answer has no length" };
         if (!isError(received)) {
             upstream.head = takeValue(std::move(received));
             co_return upstream;
