LibTraffic: Add the decisions for targets that register themselves

Cause: on the users' platform targets appear in a registry, routes belong to hosts, and no VM knows what the others do; the settings tree with homes does not describe that.

Ruled out: the home of a group as the only dispatcher.

Conclusion: every deciding function takes plain values and the present time.

--- /dev/null
+++ b/Libraries/LibTraffic/AnswerRule.cpp
@@ -0,0 +1,36 @@
+#include <LibTraffic/AnswerRule.h>
+
+namespace Comfreysail::Traffic {
+
+namespace {
+
+constexpr unsigned misdirected = 421;
+constexpr unsigned firstSuccess = 200;
+constexpr unsigned firstRedirect = 300;
+constexpr unsigned firstServerError = 500;
+
+}
+
+bool promisesNotRun(unsigned status)
+{
+    return status == 408 || status == misdirected || status == 429 || status == 503;
+}
+
+AnswerVerdict judgeAnswer(AnswerFacts const& facts)
+{
+    if (facts.status == misdirected)
+        return AnswerVerdict::OtherTarget;
+    if (facts.saysNotRun)
+        return AnswerVerdict::NotRun;
+    if (!facts.isForThisRequest)
+        return AnswerVerdict::Foreign;
+    bool const isSuccess = facts.status >= firstSuccess && facts.status < firstRedirect;
+    if (isSuccess)
+        return facts.hasSignature && !facts.isEncoded ? AnswerVerdict::Deliver : AnswerVerdict::Invalid;
+    // The status would promise the caller that the request did not run, which the target did not say.
+    if (promisesNotRun(facts.status))
+        return AnswerVerdict::Invalid;
+    return facts.status >= firstServerError ? AnswerVerdict::Failed : AnswerVerdict::Deliver;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibTraffic/Placement.cpp
@@ -0,0 +1,101 @@
+#include <LibTraffic/Placement.h>
+
+#include <algorithm>
+#include <random>
+
+namespace Comfreysail::Traffic {
+
+using Core::Instant;
+
+namespace {
+
+// A waiting request begins when one of the running ones ends, on average somewhat before a whole piece of work.
+constexpr double workUntilSlotIsFree = 0.7;
+// Targets that are nearly full slow down, so an idle target is better than one with a single free slot.
+constexpr double costOfBusySlots = 0.3;
+
+bool isExcluded(TargetRecord const& record, PlacementRequest const& request)
+{
+    return std::ranges::find(request.excludedTargets, record.target.id) != request.excludedTargets.end();
+}
+
+bool isInOwnZone(TargetRecord const& record, PlacementRequest const& request)
+{
+    return record.target.availabilityZone == request.ownZone;
+}
+
+}
+
+std::optional<double> expectedCost(
+    TargetRecord const& record, PlacementRequest const& request, PlacementOptions const& options)
+{
+    if (!record.load)
+        return std::nullopt;
+    auto const& load = *record.load;
+    auto const busy = load.running + load.waiting + record.sentSinceLoad;
+    auto const slots = static_cast<double>(load.slots);
+    double cost = 0;
+    if (busy < load.slots) {
+        cost = load.slowness * (1 + costOfBusySlots * busy / slots);
+    } else {
+        auto const ahead = busy - load.slots;
+        if (ahead + 1 > options.maxWaiting)
+            return std::nullopt;
+        cost = load.slowness * (1 + costOfBusySlots + (ahead + workUntilSlotIsFree) / slots);
+    }
+    if (!isInOwnZone(record, request))
+        cost += request.isDownload ? options.crossZoneDownloadCost : options.crossZoneCost;
+    return cost;
+}
+
+std::vector<TargetRecord const*> targetsToAsk(std::vector<TargetRecord const*> const& eligible,
+    PlacementRequest const& request, std::vector<std::string> const& asked, PlacementOptions const& options,
+    uint64_t draw)
+{
+    std::vector<TargetRecord const*> candidates;
+    for (auto const* record : eligible) {
+        if (!isExcluded(*record, request) && std::ranges::find(asked, record->target.id) == asked.end())
+            candidates.push_back(record);
+    }
+    std::mt19937_64 generator(draw);
+    std::ranges::shuffle(candidates, generator);
+    if (request.isDownload)
+        std::ranges::stable_partition(candidates, [&](auto const* record) { return isInOwnZone(*record, request); });
+    if (candidates.size() > options.targetsAskedPerRound)
+        candidates.resize(options.targetsAskedPerRound);
+    return candidates;
+}
+
+std::optional<Choice> bestTarget(std::vector<TargetRecord const*> const& candidates, PlacementRequest const& request,
+    PlacementOptions const& options, Instant now)
+{
+    std::optional<Choice> best;
+    for (auto const* record : candidates) {
+        if (isExcluded(*record, request) || now < record->coldUntil
+            || now - record->loadMeasuredAt > options.longestReportAge)
+            continue;
+        auto const cost = expectedCost(*record, request, options);
+        if (cost && (!best || *cost < best->cost))
+            best = Choice { record, *cost };
+    }
+    return best;
+}
+
+TargetRecord const* lessBusyOfTwo(
+    std::vector<TargetRecord const*> const& eligible, PlacementRequest const& request, uint64_t draw, Instant now)
+{
+    std::vector<TargetRecord const*> candidates;
+    for (auto const* record : eligible) {
+        if (!isExcluded(*record, request) && now >= record->coldUntil)
+            candidates.push_back(record);
+    }
+    std::mt19937_64 generator(draw);
+    std::ranges::shuffle(candidates, generator);
+    if (candidates.empty())
+        return nullptr;
+    if (candidates.size() == 1 || candidates[0]->inFlight <= candidates[1]->inFlight)
+        return candidates[0];
+    return candidates[1];
+}
+
+}
--- /dev/null
+++ b/Libraries/LibTraffic/Placement.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <LibTraffic/TargetRecord.h>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Comfreysail::Traffic {
+
+struct PlacementOptions {
+    /// Targets asked for their load in one round. Three find a fast free slot in most cases at moderate load.
+    unsigned targetsAskedPerRound { 3 };
+    unsigned maxRounds { 3 };
+    /// A target that expects to finish within this multiple of the usual time is taken without asking others.
+    double goodEnoughCost { 1.7 };
+    /// Requests waiting at a target above which it gets no more; targets queue only a few and may never answer
+    /// requests beyond their queue.
+    unsigned maxWaiting { 1 };
+    /// Cost that a large response across availability zones adds, since traffic between zones is expensive.
+    double crossZoneDownloadCost { 3.0 };
+    double crossZoneCost { 0.05 };
+    /// How old a load report may be to count as the answer to a question now.
+    Core::Duration longestReportAge { std::chrono::milliseconds(8) };
+
+    bool operator==(PlacementOptions const&) const = default;
+};
+
+struct PlacementRequest {
+    std::string_view ownZone;
+    bool isDownload { false };
+    std::vector<std::string> excludedTargets;
+};
+
+/// Expected time of a request at the target, as a multiple of its usual time without waiting. Nothing when the target
+/// has no room.
+std::optional<double> expectedCost(TargetRecord const&, PlacementRequest const&, PlacementOptions const&);
+
+/// Targets to ask in this round, at random among those not asked before; for downloads first those of the own zone.
+/// `asked` holds ids. `draw` seeds the choice.
+std::vector<TargetRecord const*> targetsToAsk(std::vector<TargetRecord const*> const& eligible, PlacementRequest const&,
+    std::vector<std::string> const& asked, PlacementOptions const&, uint64_t draw);
+
+struct Choice {
+    TargetRecord const* target { nullptr };
+    double cost { 0 };
+
+    bool operator==(Choice const&) const = default;
+};
+
+/// The target with the lowest expected cost among those with a load report that is recent enough. Cold targets are
+/// left out. Load answers the question when the report was made, so own sends since then are added to it.
+std::optional<Choice> bestTarget(
+    std::vector<TargetRecord const*> const&, PlacementRequest const&, PlacementOptions const&, Core::Instant now);
+
+/// For services whose targets do not tell their load: the one with the fewest requests of this daemon among two drawn
+/// at random.
+TargetRecord const* lessBusyOfTwo(
+    std::vector<TargetRecord const*> const&, PlacementRequest const&, uint64_t draw, Core::Instant now);
+
+}
--- /dev/null
+++ b/Libraries/LibTraffic/TargetDirectory.cpp
@@ -0,0 +1,148 @@
+#include <LibTraffic/TargetDirectory.h>
+
+#include <algorithm>
+
+namespace Comfreysail::Traffic {
+
+using Core::Duration;
+using Core::Instant;
+
+namespace {
+
+// Beyond this the doubling has reached the longest avoidance for any sensible options.
+constexpr unsigned maxDoublings = 10;
+
+}
+
+TargetDirectory::TargetDirectory(DirectoryOptions options)
+    : m_options(options)
+{
+}
+
+void TargetDirectory::replaceAll(std::vector<RegisteredTarget> const& targets, Instant now)
+{
+    if (m_lastReadAt && now - *m_lastReadAt > m_options.longestReadGap)
+        m_incompleteUntil = now + m_options.returnGrace;
+    m_lastReadAt = now;
+    std::set<std::string_view> present;
+    for (auto const& target : targets) {
+        present.insert(target.id);
+        auto [entry, isNew] = m_records.try_emplace(target.id);
+        auto& record = entry->second;
+        bool const isOtherStart = !isNew && record.target.startedAt != target.startedAt;
+        if (isOtherStart)
+            record = {};
+        // An entry may repeat the cold time of its writing for long, so only a changed entry counts from now.
+        if (target.coldLeft.count() > 0 && (isNew || isOtherStart || record.target.coldLeft != target.coldLeft))
+            record.coldUntil = std::max(record.coldUntil, now + target.coldLeft);
+        record.target = target;
+        record.missingSince.reset();
+    }
+    for (auto& [id, record] : m_records) {
+        if (!present.contains(id) && !record.missingSince)
+            record.missingSince = now;
+    }
+    std::erase_if(m_records, [&](auto const& item) {
+        return item.second.missingSince && now >= m_incompleteUntil && item.second.inFlight == 0;
+    });
+}
+
+std::vector<TargetRecord const*> TargetDirectory::eligible(std::string_view service,
+    std::optional<std::string_view> version, std::set<std::string, std::less<>> const& zonesOut, Instant now) const
+{
+    std::vector<TargetRecord const*> result;
+    for (auto const& [id, record] : m_records) {
+        auto const& target = record.target;
+        bool const isRegistered = !record.missingSince || now < m_incompleteUntil;
+        if (isRegistered && target.service == service && target.state == RegistrationState::Ready && !record.hasLeft
+            && now >= record.avoidedUntil && (!version || target.version == *version)
+            && !zonesOut.contains(target.availabilityZone))
+            result.push_back(&record);
+    }
+    return result;
+}
+
+std::map<std::string, unsigned, std::less<>> TargetDirectory::versionsOf(std::string_view service) const
+{
+    std::map<std::string, unsigned, std::less<>> versions;
+    for (auto const& [id, record] : m_records) {
+        if (record.target.service == service && record.target.state == RegistrationState::Ready)
+            ++versions[record.target.version];
+    }
+    return versions;
+}
+
+TargetRecord const* TargetDirectory::find(std::string_view id) const
+{
+    auto const found = m_records.find(id);
+    return found == m_records.end() ? nullptr : &found->second;
+}
+
+TargetRecord* TargetDirectory::record(std::string_view id)
+{
+    auto const found = m_records.find(id);
+    return found == m_records.end() ? nullptr : &found->second;
+}
+
+void TargetDirectory::noteSent(std::string_view id)
+{
+    if (auto* const found = record(id)) {
+        ++found->inFlight;
+        ++found->sentSinceLoad;
+    }
+}
+
+void TargetDirectory::noteEnded(std::string_view id)
+{
+    auto* const found = record(id);
+    if (found && found->inFlight > 0)
+        --found->inFlight;
+}
+
+void TargetDirectory::noteLoad(std::string_view id, TargetLoad const& load, Instant now)
+{
+    if (auto* const found = record(id)) {
+        found->load = load;
+        found->loadMeasuredAt = now;
+        found->sentSinceLoad = 0;
+    }
+}
+
+void TargetDirectory::noteCold(std::string_view id, Duration coldLeft, Instant now)
+{
+    if (auto* const found = record(id))
+        found->coldUntil = now + coldLeft;
+}
+
+void TargetDirectory::noteAnswered(std::string_view id)
+{
+    if (auto* const found = record(id)) {
+        found->failureStreak = 0;
+        found->avoidedUntil = {};
+    }
+}
+
+void TargetDirectory::noteFault(std::string_view id, TargetFault fault, Instant now)
+{
+    auto* const found = record(id);
+    if (!found)
+        return;
+    if (fault == TargetFault::OtherTarget) {
+        found->hasLeft = true;
+        return;
+    }
+    ++found->failureStreak;
+    auto const tolerated = fault == TargetFault::FailedRequest ? m_options.answeredFailuresBeforeAvoidance - 1 : 0;
+    if (found->failureStreak <= tolerated)
+        return;
+    auto const doublings = std::min(found->failureStreak - tolerated - 1, maxDoublings);
+    found->avoidedUntil = now + std::min(m_options.firstAvoidance * (1U << doublings), m_options.longestAvoidance);
+}
+
+void TargetDirectory::noteLeaving(std::string_view id)
+{
+    if (auto* const found = record(id))
+        found->hasLeft = true;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibTraffic/TrafficPlan.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <LibCore/Time.h>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace Comfreysail::Traffic {
+
+/// How often a request of a route may run.
+enum class Repeatability : uint8_t {
+    Idempotent,
+    AtMostOnce,
+};
+
+/// A service's part of a route's requests, in proportion to the weights of the route.
+struct ServiceShare {
+    std::string service;
+    double weight { 1 };
+
+    bool operator==(ServiceShare const&) const = default;
+};
+
+/// Requests of one host below one path prefix.
+struct RequestRoute {
+    std::string name;
+    std::string host;       ///< Lower case, without a port.
+    std::string pathPrefix; ///< Begins and ends with a slash.
+    Repeatability repeatability { Repeatability::AtMostOnce };
+    bool isDownload { false };       ///< Responses are large.
+    Core::Duration timeout {};       ///< Longest time that the operators let a caller wait.
+    Core::Duration latencyTarget {}; ///< Time within which a response has its full worth.
+    unsigned maxTargets { 1 };       ///< Targets to which one request may be sent.
+    unsigned priority { 0 };         ///< 0 is the most urgent.
+    std::vector<ServiceShare> shares;
+
+    bool operator==(RequestRoute const&) const = default;
+};
+
+struct ServicePlan {
+    std::string healthPath;
+    unsigned maxConnections { 0 };      ///< That one target accepts from all callers together.
+    double coldRequestsPerSecond { 0 }; ///< That a cold target tolerates from all callers together.
+
+    bool operator==(ServicePlan const&) const = default;
+};
+
+/// Limits on what callers may send.
+struct CallerLimits {
+    size_t maxHeaderBytes { 0 };
+    size_t maxBodyBytes { 0 };
+
+    bool operator==(CallerLimits const&) const = default;
+};
+
+/// One version of the operators' settings for routes and services.
+struct TrafficPlan {
+    int64_t revision { 0 };
+    std::vector<RequestRoute> routes;
+    std::map<std::string, ServicePlan, std::less<>> services;
+    CallerLimits limits;
+
+    bool operator==(TrafficPlan const&) const = default;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibTraffic/VersionMove.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <LibCore/Time.h>
+#include <cstdint>
+#include <string>
+
+namespace Comfreysail::Traffic {
+
+/// The operators' order to move a service's traffic to the targets of another version.
+struct VersionMove {
+    std::string service;
+    std::string toVersion;
+    Core::Duration duration {}; ///< From the order to the time at which the move has to be finished.
+    uint64_t orderedAt { 0 };   ///< Revision of the order in the platform's store; a new order has a higher one.
+
+    bool operator==(VersionMove const&) const = default;
+};
+
+enum class MoveState : uint8_t {
+    Running,
+    Completed,
+    RolledBack,
+};
+
+/// What the system has decided about a move and told the operators.
+struct MoveResult {
+    std::string service;
+    std::string toVersion;
+    MoveState state { MoveState::Running };
+    uint64_t revision { 0 }; ///< Of the row in the platform's store; 0 for none.
+
+    bool operator==(MoveResult const&) const = default;
+};
+
+}
