--- a/Services/comfreysaild/DaemonSettings.cpp
+++ b/Services/comfreysaild/DaemonSettings.cpp
@@ -1,6 +1,7 @@
 #include "DaemonSettings.h"
 
 #include <LibSettings/Settings.h>
+#include <array>
 #include <filesystem>
 #include <set>
 
@@ -24,6 +25,12 @@
 ListenAddress readAddressOf(CheckedTable& table, int64_t minimumPort)
 {
     ListenAddress address;
+    if (auto const endpoint = table.text("endpoint", Settings::hostPortRule)) {
+        auto const colon = endpoint->rfind(':');
+        address.address = endpoint->substr(0, colon);
+        address.port = static_cast<uint16_t>(std::stoul(endpoint->substr(colon + 1)));
+        return address;
+    }
     address.address = table.text("address", Settings::ipAddressRule, Presence::Required).value_or("");
     address.port = static_cast<uint16_t>(
         table.integer("port", IntegerRange { minimumPort, 65'535, "" }, Presence::Required).value_or(0));
@@ -102,15 +109,20 @@
     settings.settingsFile = root.text("settings_file", pathRule);
     if (settings.settingsFile)
         settings.settingsFile = (std::filesystem::path(path).parent_path() / *settings.settingsFile).string();
+    static constexpr std::array<std::string_view, 2> placements { "home", "ask_targets" };
+    if (auto const placement = root.choice("placement", placements))
+        settings.placement = static_cast<PlacementMode>(*placement);
+    bool const hasHomes = settings.placement == PlacementMode::Home;
     settings.caller = readAddress(root, "caller");
-    settings.peer = readAddress(root, "peer", 1);
+    if (hasHomes)
+        settings.peer = readAddress(root, "peer", 1);
     settings.admin = readAddress(root, "admin");
-    if (auto control = root.table("control", Presence::Required)) {
+    if (auto control = root.table("control", hasHomes ? Presence::Required : Presence::Optional)) {
         settings.control = readAddressOf(*control, 1);
         settings.seeds = control->texts("seeds", Settings::hostPortRule);
         control->refuseOtherKeys();
     }
-    auto const platformPresence = settings.settingsFile ? Presence::Optional : Presence::Required;
+    auto const platformPresence = settings.settingsFile && hasHomes ? Presence::Optional : Presence::Required;
     if (auto platform = root.table("platform", platformPresence)) {
         settings.platform = readAddressOf(*platform, 1);
         platform->refuseOtherKeys();
--- a/Services/comfreysaild/DaemonSettings.h
+++ b/Services/comfreysaild/DaemonSettings.h
@@ -30,10 +30,17 @@
     bool operator==(DaemonLimits const&) const = default;
 };
 
+/// Where requests go.
+enum class PlacementMode : uint8_t {
+    Home,       ///< Targets stand in the settings tree, and the home of their group dispatches to them.
+    AskTargets, ///< Targets register themselves, and the daemon asks some for their load before each send.
+};
+
 /// The settings file of one daemon; Services/comfreysaild/example.toml describes the keys.
 struct DaemonSettings {
     std::string vmName;
     std::string availabilityZone;
+    PlacementMode placement { PlacementMode::Home };
     unsigned workerThreads { 4 };
     Core::Duration balancerLag { std::chrono::seconds(2) };
     std::optional<std::string> settingsFile; ///< Absolute, or relative to the working directory.
--- /dev/null
+++ b/Services/comfreysaild/EntryDaemon.cpp
@@ -0,0 +1,180 @@
+#include "EntryDaemon.h"
+
+#include "CommandLine.h"
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/json.hpp>
+#include <csignal>
+
+namespace Comfreysail::Daemon {
+
+namespace asio = boost::asio;
+using Core::Empty;
+using Core::Result;
+using HTTP::awaitable;
+using namespace std::chrono_literals;
+
+namespace {
+
+// Targets close idle connections after ten seconds or more; one that is closed earlier is noticed when it is used.
+constexpr auto maxIdleTime = 8s;
+constexpr auto sweepInterval = 2s;
+constexpr auto shutdownPollInterval = 20ms;
+// A request that is being received when the last running one ends still gets its answer.
+constexpr auto lastRequestsGrace = 100ms;
+
+HTTP::PoolOptions poolOptions(DaemonSettings const& settings)
+{
+    HTTP::PoolOptions options;
+    options.maxIdlePerEndpoint = settings.limits.maxIdlePerTarget;
+    options.maxIdleTime = maxIdleTime;
+    options.limits.maxHeaderBytes = settings.limits.maxHeaderBytes;
+    return options;
+}
+
+}
+
+EntryDaemon::EntryDaemon(DaemonSettings settings)
+    : m_settings(std::move(settings))
+    , m_context(1)
+    , m_pool(m_context, poolOptions(m_settings))
+    , m_store(m_context.get_executor(), m_settings.platform->address, m_settings.platform->port)
+    , m_follower(m_context, m_store, m_state, m_settings.vmName)
+    , m_asker(m_context, m_pool, m_state)
+    , m_handler(m_pool, m_asker, m_state, m_settings.availabilityZone)
+    , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
+{
+}
+
+HTTP::ServerOptions EntryDaemon::serverOptions(ListenAddress const& address) const
+{
+    HTTP::ServerOptions options;
+    options.address = address.address;
+    options.port = address.port;
+    options.maxConnections = m_settings.limits.maxConnections;
+    options.limits.maxHeaderBytes = m_settings.limits.maxHeaderBytes;
+    options.headerTimeout = m_settings.limits.headerTimeout;
+    options.idleTimeout = m_settings.limits.idleTimeout;
+    options.stallTimeout = m_settings.limits.stallTimeout;
+    return options;
+}
+
+Result<Empty> EntryDaemon::start()
+{
+    m_callerServer = HTTP::Server::create(m_context, serverOptions(m_settings.caller),
+        [this](HTTP::ServerExchange& exchange) { return m_handler.handle(exchange); });
+    m_adminServer = HTTP::Server::create(m_context, serverOptions(m_settings.admin),
+        [this](HTTP::ServerExchange& exchange) { return answerAdmin(exchange); });
+    for (auto const& server : { m_adminServer, m_callerServer }) {
+        if (auto started = server->start(); isError(started))
+            return started;
+    }
+    m_follower.start();
+    return Empty {};
+}
+
+int EntryDaemon::run()
+{
+    if (auto const started = start(); isError(started)) {
+        Telemetry::EventLine("start_failed").add("reason", errorOf(started).detail).logError();
+        return errorOf(started).kind == Core::ErrorKind::InvalidSettings ? exitUsage : exitRuntimeFailure;
+    }
+    Telemetry::EventLine("started")
+        .add("vm_name", m_settings.vmName)
+        .add("availability_zone", m_settings.availabilityZone)
+        .add("caller_port", m_callerServer->port())
+        .add("admin_port", m_adminServer->port())
+        .logInfo();
+    asio::co_spawn(m_context, sweepLoop(), asio::detached);
+    asio::co_spawn(m_context, waitForSignals(), asio::detached);
+    m_context.run();
+    return exitSuccess;
+}
+
+bool EntryDaemon::isReady() const { return !m_state.isShuttingDown && m_state.plan && m_state.hasReadTargets; }
+
+awaitable<void> EntryDaemon::pause(Core::Duration duration)
+{
+    asio::steady_timer timer(m_context, duration);
+    co_await timer.async_wait(HTTP::useTuple);
+}
+
+awaitable<void> EntryDaemon::sweepLoop()
+{
+    while (true) {
+        co_await pause(sweepInterval);
+        m_pool.closeExpired(Core::monotonicNow());
+    }
+}
+
+std::string EntryDaemon::statusJson() const
+{
+    boost::json::array zonesOut;
+    for (auto const& zone : m_state.zonesOut)
+        zonesOut.push_back(boost::json::string(zone));
+    boost::json::array moves;
+    for (auto const& [service, progress] : m_state.moves)
+        moves.push_back({ { "service", service }, { "to", progress.move.toVersion },
+            { "state", static_cast<int>(progress.state) } });
+    return boost::json::serialize(boost::json::object {
+        { "revision", m_state.plan ? m_state.plan->revision : 0 },
+        { "targets", m_state.directory.size() },
+        { "zones_out", std::move(zonesOut) },
+        { "moves", std::move(moves) },
+    });
+}
+
+awaitable<void> EntryDaemon::answerAdmin(HTTP::ServerExchange& exchange)
+{
+    std::string_view const target = exchange.head().target;
+    auto const path = target.substr(0, target.find('?'));
+    HTTP::ResponseHead head;
+    head.fields.add("Content-Type", "text/plain; charset=utf-8");
+    std::string body = "ok\n";
+    if (path == "/ready" && !isReady()) {
+        head.status = 503;
+        body = "not ready\n";
+    } else if (path == "/metrics") {
+        body = m_state.metrics.prometheusText();
+    } else if (path == "/status") {
+        body = statusJson();
+    } else if (path != "/ready" && path != "/health") {
+        head.status = 404;
+        body = "not found\n";
+    }
+    co_await exchange.respond(std::move(head), body);
+}
+
+awaitable<void> EntryDaemon::waitForSignals()
+{
+    while (true) {
+        auto const [error, signal] = co_await m_signals.async_wait(HTTP::useTuple);
+        if (error)
+            co_return;
+        Telemetry::EventLine("signal").add("number", signal).add("active_requests", m_state.activeRequests).logInfo();
+        // FIXME: A changed settings file is not read again; the addresses of a running daemon do not change.
+        if (signal == SIGHUP || m_state.isShuttingDown)
+            continue;
+        m_state.isShuttingDown = true;
+        asio::co_spawn(m_context, shutDown(), asio::detached);
+    }
+}
+
+awaitable<void> EntryDaemon::shutDown()
+{
+    // Callers arrive until the platform's balancer has noticed; from now on each response ends its connection.
+    m_callerServer->closeAfterResponses();
+    co_await pause(m_settings.balancerLag);
+    m_callerServer->stopAccepting();
+    m_callerServer->closeIdleConnections();
+    while (m_state.activeRequests > 0)
+        co_await pause(shutdownPollInterval);
+    co_await pause(lastRequestsGrace);
+    m_callerServer->closeIdleConnections();
+    while (m_state.activeRequests > 0)
+        co_await pause(shutdownPollInterval);
+    Telemetry::EventLine("shutdown_finished").logInfo();
+    m_context.stop();
+}
+
+}
--- /dev/null
+++ b/Services/comfreysaild/EntryState.cpp
@@ -0,0 +1,31 @@
+#include "EntryState.h"
+
+#include <algorithm>
+
+namespace Comfreysail::Daemon {
+
+using Traffic::MoveState;
+
+std::optional<std::string> allowedVersion(
+    EntryState const& state, std::string_view service, double uniform, Core::Instant now)
+{
+    auto const found = state.moves.find(service);
+    if (found == state.moves.end())
+        return std::nullopt;
+    auto const& progress = found->second;
+    auto const& to = progress.move.toVersion;
+    auto versions = state.directory.versionsOf(service);
+    bool const hasNew = versions.erase(to) > 0;
+    auto const old = std::ranges::max_element(
+        versions, [](auto const& left, auto const& right) { return left.second < right.second; });
+    if (progress.state == MoveState::Completed)
+        return to;
+    auto const share = progress.state == MoveState::RolledBack
+        ? 0
+        : Traffic::shareOfNewVersion(progress.move, now - progress.firstSeenAt, {});
+    if (old == versions.end())
+        return progress.state == MoveState::RolledBack ? std::string() : to;
+    return hasNew && uniform < share ? to : old->first;
+}
+
+}
--- /dev/null
+++ b/Services/comfreysaild/EntryState.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <LibTelemetry/Telemetry.h>
+#include <LibTraffic/Traffic.h>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace Comfreysail::Daemon {
+
+/// A move between versions as this daemon sees it.
+struct MoveInProgress {
+    Traffic::VersionMove move;
+    Core::Instant firstSeenAt {};
+    Traffic::MoveState state { Traffic::MoveState::Running };
+    uint64_t resultRevision { 0 };       ///< Of the row that tells the operators the state; 0 for none.
+    Traffic::VersionEvidence newVersion; ///< Of this daemon.
+    Traffic::VersionEvidence oldVersion;
+    Traffic::VersionEvidence newVersionElsewhere; ///< Of the other daemons, as last read.
+    Traffic::VersionEvidence oldVersionElsewhere;
+};
+
+/// What an entry daemon believes, used by its one thread only.
+struct EntryState {
+    std::shared_ptr<Traffic::TrafficPlan const> plan; ///< nullptr before the first one.
+    std::set<std::string, std::less<>> zonesOut;
+    std::map<std::string, MoveInProgress, std::less<>> moves; ///< By service.
+    Traffic::TargetDirectory directory;
+    bool hasReadTargets { false };
+    Traffic::RetryAllowance retries;
+    Traffic::ColdAllowance coldSends;
+    std::set<std::string, std::less<>> servicesWithoutLoad; ///< Their targets do not tell their load.
+    unsigned activeRequests { 0 };
+    bool isShuttingDown { false };
+    Telemetry::MetricRegistry metrics;
+};
+
+/// The version that a request may use, or nothing when any may be used. `uniform` is a random number in [0, 1).
+std::optional<std::string> allowedVersion(
+    EntryState const&, std::string_view service, double uniform, Core::Instant now);
+
+}
--- /dev/null
+++ b/Services/comfreysaild/LoadAsker.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "EntryState.h"
+#include <LibHTTP/HTTP.h>
+#include <boost/asio/io_context.hpp>
+#include <functional>
+
+namespace Comfreysail::Daemon {
+
+/// Asks targets for their load right before a send, since older reports mislead.
+class LoadAsker {
+public:
+    LoadAsker(boost::asio::io_context&, HTTP::ConnectionPool&, EntryState&);
+
+    /// Asks all at once and returns when `isSatisfied` says so after an answer, when all have answered, or after
+    /// `longestWait`. Answers that come later are still noted in the directory.
+    HTTP::awaitable<void> ask(std::vector<std::string> const& targets, std::string healthPath,
+        Core::Duration longestWait, std::function<bool()> isSatisfied);
+
+private:
+    struct Round;
+
+    HTTP::awaitable<void> askOne(std::string target, std::string healthPath, std::shared_ptr<Round>);
+    HTTP::awaitable<bool> exchange(std::shared_ptr<HTTP::ClientConnection> const&, Traffic::RegisteredTarget const&,
+        std::string const& healthPath, Core::Instant deadline);
+    void noteAnswer(Traffic::RegisteredTarget const&, HTTP::ResponseHead const&);
+
+    boost::asio::io_context& m_context;
+    HTTP::ConnectionPool& m_pool;
+    EntryState& m_state;
+};
+
+}
--- a/Services/comfreysaild/main.cpp
+++ b/Services/comfreysaild/main.cpp
@@ -1,6 +1,7 @@
 #include "CommandLine.h"
 #include "Daemon.h"
 #include "DaemonSettings.h"
+#include "EntryDaemon.h"
 #include <iostream>
 
 int main(int argumentCount, char** arguments)
@@ -21,6 +22,8 @@
         return Daemon::exitSuccess;
     }
     Telemetry::startLogging(arguments[0]);
-    Daemon::Daemon daemon(std::get<Daemon::DaemonSettings>(std::move(settings)));
-    return daemon.run();
+    auto const& daemonSettings = std::get<Daemon::DaemonSettings>(settings);
+    if (daemonSettings.placement == Daemon::PlacementMode::AskTargets)
+        return Daemon::EntryDaemon(daemonSettings).run();
+    return Daemon::Daemon(daemonSettings).run();
 }
