comfreysaild: Let requests wait at a target only while that ends in time

Cause: under overload of the services with two slots, requests waiting at full targets ended late and kept the slots from those that would have ended in time.

Change: waiting is allowed up to the cost that ends within the latency target, and only while such requests of the route did end in time.

--- a/Libraries/LibHTTP/ServerExchange.cpp
+++ b/Libraries/LibHTTP/ServerExchange.cpp
@@ -70,7 +70,7 @@
 
 void ServerExchange::startResponse(ResponseHead head)
 {
-    m_keepAlive = m_keepAlive && head.keepAlive;
+    m_keepAlive = m_keepAlive && head.keepAlive && !head.endsWithConnection;
     // A caller that still waits for "100 Continue" may or may not send its body, so the next request cannot be found.
     if (m_mustSendContinue)
         m_keepAlive = false;
@@ -78,7 +78,7 @@
     m_statusForbidsBody = statusForbidsBody(head.status);
     if (sendsBody()) {
         m_isChunked = head.chunked;
-        if (!head.chunked && !head.contentLength)
+        if (!head.chunked && !head.contentLength && !head.endsWithConnection)
             head.contentLength = 0;
         m_bodyBytesLeft = head.chunked ? std::nullopt : head.contentLength;
     } else if (head.status == 204) {
--- a/Libraries/LibTraffic/Placement.cpp
+++ b/Libraries/LibTraffic/Placement.cpp
@@ -19,6 +19,11 @@
     return std::ranges::find(request.excludedTargets, record.target.id) != request.excludedTargets.end();
 }
 
+unsigned busyRequests(TargetRecord const& record)
+{
+    return record.load->running + record.load->waiting + record.sentSinceLoad;
+}
+
 bool isInOwnZone(TargetRecord const& record, PlacementRequest const& request)
 {
     return record.target.availabilityZone == request.ownZone;
@@ -32,7 +37,7 @@
     if (!record.load)
         return std::nullopt;
     auto const& load = *record.load;
-    auto const busy = load.running + load.waiting + record.sentSinceLoad;
+    auto const busy = busyRequests(record);
     auto const slots = static_cast<double>(load.slots);
     double cost = 0;
     if (busy < load.slots) {
@@ -42,6 +47,8 @@
         if (ahead + 1 > options.maxWaiting)
             return std::nullopt;
         cost = load.slowness * (1 + costOfBusySlots + (ahead + workUntilSlotIsFree) / slots);
+        if (cost > request.maxCostWithWaiting.value_or(0))
+            return std::nullopt;
     }
     if (!isInOwnZone(record, request))
         cost += request.isDownload ? options.crossZoneDownloadCost : options.crossZoneCost;
@@ -76,7 +83,7 @@
             continue;
         auto const cost = expectedCost(*record, request, options);
         if (cost && (!best || *cost < best->cost))
-            best = Choice { record, *cost };
+            best = Choice { record, *cost, busyRequests(*record) >= record->load->slots };
     }
     return best;
 }
--- a/Libraries/LibTraffic/Placement.h
+++ b/Libraries/LibTraffic/Placement.h
@@ -17,7 +17,7 @@
     double goodEnoughCost { 1.7 };
     /// Requests waiting at a target above which it gets no more; targets queue only a few and may never answer
     /// requests beyond their queue.
-    unsigned maxWaiting { 1 };
+    unsigned maxWaiting { 2 };
     /// Cost that a large response across availability zones adds, since traffic between zones is expensive.
     double crossZoneDownloadCost { 3.0 };
     double crossZoneCost { 0.05 };
@@ -31,6 +31,9 @@
     std::string_view ownZone;
     bool isDownload { false };
     std::vector<std::string> excludedTargets;
+    /// Highest cost at which the request may wait at a target, so that it still ends within its latency target. Without
+    /// it, only free slots are used: under overload, waiting requests end late and keep slots from those in time.
+    std::optional<double> maxCostWithWaiting;
 };
 
 /// Expected time of a request at the target, as a multiple of its usual time without waiting. Nothing when the target
@@ -45,6 +48,7 @@
 struct Choice {
     TargetRecord const* target { nullptr };
     double cost { 0 };
+    bool isWaiting { false }; ///< All slots of the target are taken.
 
     bool operator==(Choice const&) const = default;
 };
--- /dev/null
+++ b/Libraries/LibTraffic/ServiceTime.cpp
@@ -0,0 +1,32 @@
+#include <LibTraffic/ServiceTime.h>
+
+#include <algorithm>
+
+namespace Comfreysail::Traffic {
+
+namespace {
+
+constexpr double highestTellingCost = 1.7;
+// Weight of one sample once there are many; the first ones are averaged evenly.
+constexpr double sampleWeight = 0.05;
+constexpr unsigned leastSamples = 5;
+
+}
+
+void ServiceTime::note(Core::Duration time, double cost)
+{
+    if (cost <= 0 || cost > highestTellingCost)
+        return;
+    ++m_samples;
+    auto const weight = std::max(sampleWeight, 1.0 / m_samples);
+    m_microseconds += weight * (static_cast<double>(time.count()) / cost - m_microseconds);
+}
+
+double ServiceTime::costWithin(Core::Duration time) const
+{
+    if (m_samples < leastSamples || m_microseconds <= 0)
+        return 0;
+    return std::max(0.0, static_cast<double>(time.count()) / m_microseconds);
+}
+
+}
--- a/Libraries/LibTraffic/Traffic.h
+++ b/Libraries/LibTraffic/Traffic.h
@@ -10,8 +10,10 @@
 #include <LibTraffic/RegisteredTarget.h>
 #include <LibTraffic/RetryAllowance.h>
 #include <LibTraffic/RouteTable.h>
+#include <LibTraffic/ServiceTime.h>
 #include <LibTraffic/TargetDirectory.h>
 #include <LibTraffic/TargetLoad.h>
 #include <LibTraffic/TargetRecord.h>
 #include <LibTraffic/TrafficPlan.h>
 #include <LibTraffic/VersionMove.h>
+#include <LibTraffic/WaitingWorth.h>
--- a/Services/comfreysaild/EntryHandler.cpp
+++ b/Services/comfreysaild/EntryHandler.cpp
@@ -70,12 +70,25 @@
     HTTP::removeHopByHopFields(head.fields);
     head.fields.remove("Content-Length");
     head.fields.remove(Platform::headerNames().load);
-    head.keepAlive = true;
-    if (std::exchange(head.endsWithConnection, false))
-        head.chunked = true;
+    // A response without a length ends with the connection here too: that its end is its true end is only presumed, and
+    // a length would claim it.
+    head.keepAlive = !head.endsWithConnection;
     return head;
 }
 
+/// Why none of the targets was chosen, for the log.
+std::string describeTargets(std::vector<Traffic::TargetRecord const*> const& eligible, size_t asked, Instant now)
+{
+    size_t cold = 0;
+    size_t full = 0;
+    for (auto const* record : eligible) {
+        cold += now < record->coldUntil ? 1 : 0;
+        full += record->load && record->load->running + record->load->waiting >= record->load->slots ? 1 : 0;
+    }
+    return "asked " + std::to_string(asked) + " of " + std::to_string(eligible.size()) + ", cold " + std::to_string(cold)
+        + ", full " + std::to_string(full);
+}
+
 Traffic::AnswerFacts factsOf(EntryRequest const& request, HTTP::ResponseHead const& head)
 {
     auto const& names = Platform::headerNames();
@@ -211,23 +224,47 @@
 awaitable<Result<RegisteredTarget>> EntryHandler::selectTarget(EntryRequest& request)
 {
     Traffic::PlacementOptions const options;
-    Traffic::PlacementRequest const placement { m_ownZone, request.route->isDownload, request.triedTargets };
+    auto const placement = placementOf(request);
     auto const& plan = *request.plan;
     auto const service = plan.services.find(request.service);
     if (service == plan.services.end())
         co_return Error { ErrorKind::NoTargetAvailable, "the service is not in the settings" };
-    auto const eligibleNow = [&] {
-        auto const now = Core::monotonicNow();
-        auto const version = allowedVersion(m_state, request.service, request.uniform, now);
-        return m_state.directory.eligible(request.service, version, m_state.zonesOut, now);
-    };
     if (m_state.servicesWithoutLoad.contains(request.service)) {
         auto const* const target
-            = Traffic::lessBusyOfTwo(eligibleNow(), placement, m_generator(), Core::monotonicNow());
+            = Traffic::lessBusyOfTwo(eligibleTargets(request), placement, m_generator(), Core::monotonicNow());
         if (target)
             co_return target->target;
         co_return Error { ErrorKind::NoTargetAvailable, {} };
     }
+    auto selected = co_await askAndChoose(request, service->second.healthPath, placement);
+    co_return selected;
+}
+
+Traffic::PlacementRequest EntryHandler::placementOf(EntryRequest const& request)
+{
+    Traffic::PlacementRequest placement;
+    placement.ownZone = m_ownZone;
+    placement.isDownload = request.route->isDownload;
+    placement.excludedTargets = request.triedTargets;
+    auto const found = m_state.serviceTimes.find(request.route->name);
+    bool const mayWait = m_state.waitingWorth[request.route->name].pays(request.uniform);
+    if (found != m_state.serviceTimes.end() && mayWait) {
+        auto const left = request.arrivedAt + request.route->latencyTarget - Core::monotonicNow();
+        placement.maxCostWithWaiting = found->second.costWithin(left);
+    }
+    return placement;
+}
+
+awaitable<Result<RegisteredTarget>> EntryHandler::askAndChoose(
+    EntryRequest& request, std::string const& healthPath, Traffic::PlacementRequest const& placement)
+{
+    Traffic::PlacementOptions const options;
+    auto const eligibleNow = [&] { return eligibleTargets(request); };
+    auto const best = [&] { return Traffic::bestTarget(eligibleNow(), placement, options, Core::monotonicNow()); };
+    auto const isGood = [&] {
+        auto const choice = best();
+        return choice && choice->cost <= options.goodEnoughCost;
+    };
     std::vector<std::string> asked;
     for (unsigned round = 0; round < options.maxRounds; ++round) {
         auto const toAsk = Traffic::targetsToAsk(eligibleNow(), placement, asked, options, m_generator());
@@ -237,23 +274,26 @@
         for (auto const* record : toAsk)
             ids.push_back(record->target.id);
         asked.insert(asked.end(), ids.begin(), ids.end());
-        auto const best = [&] { return Traffic::bestTarget(eligibleNow(), placement, options, Core::monotonicNow()); };
-        auto const isGood = [&] {
-            auto const choice = best();
-            return choice && choice->cost <= options.goodEnoughCost;
-        };
-        co_await m_asker.ask(ids, service->second.healthPath, longestAsk, isGood);
+        co_await m_asker.ask(ids, healthPath, longestAsk, isGood);
         if (request.stopSignal.reason())
             co_return Error { *request.stopSignal.reason(), {} };
-        auto const choice = best();
-        bool const isLastRound = round + 1 == options.maxRounds || asked.size() >= eligibleNow().size();
-        if (choice && (choice->cost <= options.goodEnoughCost || isLastRound))
-            co_return choice->target->target;
+        if (isGood())
+            break;
     }
-    auto const choice = Traffic::bestTarget(eligibleNow(), placement, options, Core::monotonicNow());
-    if (choice)
+    auto const choice = best();
+    if (choice) {
+        request.expectedCost = choice->cost;
+        request.waitsAtTarget = choice->isWaiting;
         co_return choice->target->target;
-    co_return Error { ErrorKind::NoTargetAvailable, "asked " + std::to_string(asked.size()) };
+    }
+    co_return Error { ErrorKind::NoTargetAvailable, describeTargets(eligibleNow(), asked.size(), Core::monotonicNow()) };
+}
+
+std::vector<Traffic::TargetRecord const*> EntryHandler::eligibleTargets(EntryRequest const& request) const
+{
+    auto const now = Core::monotonicNow();
+    auto const version = allowedVersion(m_state, request.service, request.uniform, now);
+    return m_state.directory.eligible(request.service, version, m_state.zonesOut, now);
 }
 
 awaitable<std::shared_ptr<ClientConnection>> EntryHandler::connect(
@@ -383,7 +423,7 @@
     if (!request.streaming) {
         bool const hasBody = exchange.head().method != "HEAD" && !HTTP::statusForbidsBody(head.status);
         head.chunked = false;
-        if (hasBody)
+        if (hasBody && !head.endsWithConnection)
             head.contentLength = request.responseBody.size();
         exchange.startResponse(std::move(head));
         bool isSent = true;
@@ -489,6 +529,9 @@
     switch (verdict) {
     case AnswerVerdict::Deliver:
         directory.noteAnswered(target.id);
+        m_state.serviceTimes[request.route->name].note(now - request.sentAt, request.expectedCost);
+        if (request.waitsAtTarget)
+            m_state.waitingWorth[request.route->name].note(now - request.arrivedAt <= request.route->latencyTarget);
         break;
     case AnswerVerdict::OtherTarget:
         directory.noteFault(target.id, Traffic::TargetFault::OtherTarget, now);
--- a/Services/comfreysaild/EntryHandler.h
+++ b/Services/comfreysaild/EntryHandler.h
@@ -21,6 +21,11 @@
     HTTP::awaitable<void> forward(EntryRequest&);
     /// Errors: NoTargetAvailable, or the reason of the stop signal.
     HTTP::awaitable<Core::Result<Traffic::RegisteredTarget>> selectTarget(EntryRequest&);
+    /// One pass over at most three rounds of questions.
+    HTTP::awaitable<Core::Result<Traffic::RegisteredTarget>> askAndChoose(
+        EntryRequest&, std::string const& healthPath, Traffic::PlacementRequest const&);
+    Traffic::PlacementRequest placementOf(EntryRequest const&);
+    std::vector<Traffic::TargetRecord const*> eligibleTargets(EntryRequest const&) const;
     /// Sends once. Returns what decides whether to send again; the response stays in the request.
     HTTP::awaitable<Traffic::AnswerVerdict> sendOnce(EntryRequest&, Traffic::RegisteredTarget const&);
     HTTP::awaitable<std::shared_ptr<HTTP::ClientConnection>> connect(EntryRequest&, HTTP::Endpoint const&);
--- a/Services/comfreysaild/EntryState.h
+++ b/Services/comfreysaild/EntryState.h
@@ -31,6 +31,8 @@
     bool hasReadTargets { false };
     Traffic::RetryAllowance retries;
     Traffic::ColdAllowance coldSends;
+    std::map<std::string, Traffic::ServiceTime, std::less<>> serviceTimes;   ///< By route.
+    std::map<std::string, Traffic::WaitingWorth, std::less<>> waitingWorth; ///< By route.
     std::set<std::string, std::less<>> servicesWithoutLoad; ///< Their targets do not tell their load.
     unsigned activeRequests { 0 };
     bool isShuttingDown { false };
