LibTraffic: Leave the last free slot to requests that can still end in time

Cause: under overload most served requests were on their second or third try and late, while fresh ones found no slot.

Change: a request that can no longer end within its latency target is sent only when two targets have room. The time that its caller waited before is the longest time left seen on the route less its own.

--- a/Libraries/LibTraffic/Placement.cpp
+++ b/Libraries/LibTraffic/Placement.cpp
@@ -77,14 +77,19 @@
     PlacementOptions const& options, Instant now)
 {
     std::optional<Choice> best;
+    unsigned withRoom = 0;
     for (auto const* record : candidates) {
         if (isExcluded(*record, request) || now < record->coldUntil
             || now - record->loadMeasuredAt > options.longestReportAge)
             continue;
         auto const cost = expectedCost(*record, request, options);
+        if (cost)
+            ++withRoom;
         if (cost && (!best || *cost < best->cost))
             best = Choice { record, *cost, busyRequests(*record) >= record->load->slots };
     }
+    if (request.isLate && withRoom < options.roomForLateRequests)
+        return std::nullopt;
     return best;
 }
 
--- a/Libraries/LibTraffic/Placement.h
+++ b/Libraries/LibTraffic/Placement.h
@@ -21,6 +21,9 @@
     /// Cost that a large response across availability zones adds, since traffic between zones is expensive.
     double crossZoneDownloadCost { 3.0 };
     double crossZoneCost { 0.05 };
+    /// Targets with room that a request needs to see when it can no longer end within its latency target. It leaves the
+    /// last free slot to a request that still can: as many are served, and more of them in time.
+    unsigned roomForLateRequests { 2 };
     /// How old a load report may be to count as the answer to a question now.
     Core::Duration longestReportAge { std::chrono::milliseconds(8) };
 
@@ -31,6 +34,7 @@
     std::string_view ownZone;
     bool isDownload { false };
     std::vector<std::string> excludedTargets;
+    bool isLate { false }; ///< Cannot end within its latency target any more.
     /// Highest cost at which the request may wait at a target, so that it still ends within its latency target. Without
     /// it, only free slots are used: under overload, waiting requests end late and keep slots from those in time.
     std::optional<double> maxCostWithWaiting;
--- a/Libraries/LibTraffic/ServiceTime.cpp
+++ b/Libraries/LibTraffic/ServiceTime.cpp
@@ -29,4 +29,6 @@
     return std::max(0.0, static_cast<double>(time.count()) / m_microseconds);
 }
 
+Core::Duration ServiceTime::usual() const { return Core::Duration(static_cast<Core::Duration::rep>(m_microseconds)); }
+
 }
--- a/Libraries/LibTraffic/ServiceTime.h
+++ b/Libraries/LibTraffic/ServiceTime.h
@@ -14,6 +14,9 @@
     /// The highest expected cost that ends within the time; 0 before anything was learnt.
     double costWithin(Core::Duration) const;
 
+    /// The time at the expected cost 1; 0 before anything was learnt.
+    Core::Duration usual() const;
+
 private:
     double m_microseconds { 0 };
     unsigned m_samples { 0 };
--- a/Services/comfreysaild/EntryHandler.cpp
+++ b/Services/comfreysaild/EntryHandler.cpp
@@ -139,7 +139,11 @@
         co_return Error { ErrorKind::UnknownRoute, {} };
     request.uniform = uniform();
     request.service = Traffic::chooseService(*request.route, uniform());
-    request.deadline = request.arrivedAt + std::min(timeLeft(head), request.route->timeout);
+    auto const left = timeLeft(head);
+    auto& longestLeft = m_state.longestTimeLeft[request.route->name];
+    longestLeft = std::max(longestLeft, left);
+    request.waitedBefore = longestLeft - left;
+    request.deadline = request.arrivedAt + std::min(left, request.route->timeout);
     request.deadlineWatchdog->arm(
         request.deadline, [&request] { request.stopSignal.stop(ErrorKind::DeadlineExceeded); });
     StopSignal::Scope const scope(request.stopSignal, [&exchange] { exchange.cancelReadIfReading(); });
@@ -247,10 +251,12 @@
     placement.isDownload = request.route->isDownload;
     placement.excludedTargets = request.triedTargets;
     auto const found = m_state.serviceTimes.find(request.route->name);
+    auto const waited = request.waitedBefore + (Core::monotonicNow() - request.arrivedAt);
+    auto const usual = found == m_state.serviceTimes.end() ? Core::Duration {} : found->second.usual();
+    placement.isLate = waited + usual > request.route->latencyTarget;
     bool const mayWait = m_state.waitingWorth[request.route->name].pays(request.uniform);
     if (found != m_state.serviceTimes.end() && mayWait) {
-        auto const left = request.arrivedAt + request.route->latencyTarget - Core::monotonicNow();
-        placement.maxCostWithWaiting = found->second.costWithin(left);
+        placement.maxCostWithWaiting = found->second.costWithin(request.route->latencyTarget - waited);
     }
     return placement;
 }
--- a/Services/comfreysaild/EntryRequest.h
+++ b/Services/comfreysaild/EntryRequest.h
@@ -27,6 +27,7 @@
     std::string service;
     std::string requestId;
     Core::Instant deadline {};
+    Core::Duration waitedBefore {}; ///< That the caller waited before this request, in earlier tries.
     std::shared_ptr<std::string> body { std::make_shared<std::string>() };
     double uniform { 0 }; ///< Drawn once, so that a repeated send stays on its version.
 
