--- a/Libraries/LibTraffic/Placement.h
+++ b/Libraries/LibTraffic/Placement.h
@@ -23,7 +23,7 @@
     double crossZoneCost { 0.05 };
     /// Targets with room that a request needs to see when it can no longer end within its latency target. It leaves the
     /// last free slot to a request that still can: as many are served, and more of them in time.
-    unsigned roomForLateRequests { 2 };
+    unsigned roomForLateRequests { 3 };
     /// How old a load report may be to count as the answer to a question now.
     Core::Duration longestReportAge { std::chrono::milliseconds(8) };
 
