platform: Give product, tool and stand-in the users' store protocol

Cause: the table service protocol of the stand-in was made up; the daemon under test and the daemon on the users' platform ran different clients.

Ruled out: keeping both behind the store port, which would leave two copies of rows and of their errors.

Change: the store port is implemented in platform/ over the users' calls; FakePlatform speaks them (conditions, ranges, feed with tombstones and 410, objects, call rates with 429, late effects, busy, some callers only). The list of VMs, which the platform does not have, is a table that operators may write. The contract tests moved to Tests/Platform; "too few versions" became "revision is a text", since one revision answers a transaction now; five fault cases were added.

Conclusion: one client, one copy of each type.

--- a/Libraries/LibStore/Store.h
+++ b/Libraries/LibStore/Store.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /// Public header of LibStore: the port to the platform's table service, object store and VM list, the rows for settings
-/// and moves, and their conditional changes. HttpStore.h is separate, because it needs an Asio executor.
+/// and moves, and their conditional changes. HttpCaller.h is separate, because it needs an Asio executor.
 
 #include <LibStore/ApplyChange.h>
 #include <LibStore/ChangeMove.h>
--- a/Meta/Cluster/bench_settings.py
+++ b/Meta/Cluster/bench_settings.py
@@ -159,8 +159,7 @@
     lost = 0
     revisions = set()
     for _, revision, change_id in accepted:
-        status, body = cluster_module.call("GET", cluster.platform_address, f"/v1/tables/changes/{change_id}")
-        row = json.loads(json.loads(body)["value"]) if status == 200 else {}
+        row = cluster.platform_row("changes", change_id) or {}
         lost += row.get("revision") != revision or revision in revisions
         revisions.add(revision)
     return lost
@@ -169,8 +168,7 @@
 def check_last(cluster, accepted, seen):
     """Whether the head in the store and every daemon have the last accepted revision at the end."""
     last = max(revision for _, revision, _ in accepted)
-    status, body = cluster_module.call("GET", cluster.platform_address, "/v1/tables/settings/head")
-    head = json.loads(json.loads(body)["value"])["revision"] if status == 200 else 0
+    head = (cluster.platform_row("settings", "head") or {"revision": 0})["revision"]
     latest = {name: revision for _, name, _, revision in seen}
     behind = [name for name in (daemon.name for daemon in cluster.daemons) if latest.get(name, 0) < last]
     print(f"last_accepted={last} head={head} behind={','.join(behind) or 'none'}")
--- a/Meta/Cluster/cluster.py
+++ b/Meta/Cluster/cluster.py
@@ -1,5 +1,6 @@
 """Starts and stops a whole system on loopback: fake platform, fake targets, daemons and callers."""
 
+import base64
 import http.client
 import json
 import os
@@ -40,6 +41,11 @@
     return ports
 
 
+def encoded(value):
+    """A JSON value as the platform's store takes it in a row."""
+    return base64.b64encode(json.dumps(value).encode()).decode()
+
+
 def call(method, address, path, body=None, timeout=2):
     """Status and body, or (0, reason) when there is no answer."""
     data = None if body is None else json.dumps(body).encode()
@@ -144,12 +150,20 @@
     def start_platform(self):
         arguments = ["--port", str(self.platform_port), "--control-port", str(self.platform_control_port)]
         self.platform = self.add(Program("platform", [os.path.join(BIN, "FakePlatform")] + arguments, self.folder))
-        self.wait_for(lambda: call("GET", self.platform_address, "/v1/vms")[0] == 200, 5, "the platform answers")
+        self.wait_for(lambda: call("GET", self.platform_address, "/rows-get?table=settings")[0] == 200, 5, "the platform answers")
 
     @property
     def platform_address(self):
         return f"127.0.0.1:{self.platform_port}"
 
+    def platform_row(self, table, key):
+        """The JSON value of one row of the platform's store, or None."""
+        status, body = call("GET", self.platform_address, f"/rows-get?table={table}&from={key}&limit=1")
+        rows = json.loads(body)["rows"] if status == 200 else []
+        if not rows or rows[0]["key"] != key:
+            return None
+        return json.loads(base64.b64decode(rows[0]["value"]))
+
     def platform_fault(self, mode, **values):
         return call("POST", f"127.0.0.1:{self.platform_control_port}", "/faults", {"mode": mode, **values})
 
@@ -172,7 +186,8 @@
             {"name": f"vm-{i + 1}", "address": "127.0.0.1", "availability_zone": ZONES[i % len(ZONES)], "state": "live"}
             for i in range(count)
         ]
-        call("PUT", self.platform_address, "/v1/vms", {"vms": vms})
+        puts = [{"table": "comfreysail-vms", "part": "", "key": vm["name"], "value": encoded(vm)} for vm in vms]
+        call("POST", self.platform_address, "/rows-tx", {"precondition": [], "puts": puts, "deletes": []})
         for vm, group in zip(vms, groups):
             seeds = [f"127.0.0.1:{other[3]}" for other in groups if other is not group]
             self.daemons.append(self.add(Daemon(self, vm["name"], vm["availability_zone"], group, seeds)))
--- a/Services/comfreysaild/Daemon.cpp
+++ b/Services/comfreysaild/Daemon.cpp
@@ -1,13 +1,13 @@
 #include "Daemon.h"
 
 #include "CommandLine.h"
-#include <LibStore/HttpStore.h>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/strand.hpp>
 #include <csignal>
 #include <fstream>
 #include <iterator>
+#include <platform/RowStore.h>
 #include <random>
 #include <thread>
 
@@ -45,7 +45,7 @@
     Store::HttpStoreOptions options;
     options.address = settings.platform->address;
     options.port = settings.platform->port;
-    return Store::makeHttpStore(context.get_executor(), options);
+    return Platform::makeStorePort(context.get_executor(), options);
 }
 
 ControlPlaneOptions controlPlaneOptions(DaemonSettings const& settings)
--- a/Services/comfreysaild/EntryHandler.cpp
+++ b/Services/comfreysaild/EntryHandler.cpp
@@ -85,8 +85,8 @@
         cold += now < record->coldUntil ? 1 : 0;
         full += record->load && record->load->running + record->load->waiting >= record->load->slots ? 1 : 0;
     }
-    return "asked " + std::to_string(asked) + " of " + std::to_string(eligible.size()) + ", cold " + std::to_string(cold)
-        + ", full " + std::to_string(full);
+    return "asked " + std::to_string(asked) + " of " + std::to_string(eligible.size()) + ", cold "
+        + std::to_string(cold) + ", full " + std::to_string(full);
 }
 
 Traffic::AnswerFacts factsOf(EntryRequest const& request, HTTP::ResponseHead const& head)
@@ -292,7 +292,8 @@
         request.waitsAtTarget = choice->isWaiting;
         co_return choice->target->target;
     }
-    co_return Error { ErrorKind::NoTargetAvailable, describeTargets(eligibleNow(), asked.size(), Core::monotonicNow()) };
+    co_return Error { ErrorKind::NoTargetAvailable,
+        describeTargets(eligibleNow(), asked.size(), Core::monotonicNow()) };
 }
 
 std::vector<Traffic::TargetRecord const*> EntryHandler::eligibleTargets(EntryRequest const& request) const
--- a/Services/comfreysaild/EntryRequest.h
+++ b/Services/comfreysaild/EntryRequest.h
@@ -36,7 +36,7 @@
     std::vector<std::string> triedTargets;
     Core::Instant sentAt {};
     bool waitsAtTarget { false }; ///< The last send went to a target without a free slot.
-    double expectedCost { 0 }; ///< Of the last send; 0 when the target does not tell its load.
+    double expectedCost { 0 };    ///< Of the last send; 0 when the target does not tell its load.
 
     /// The last response that belongs to the request, with its whole body.
     std::optional<HTTP::ResponseHead> response;
--- a/Services/comfreysaild/StoreFollower.cpp
+++ b/Services/comfreysaild/StoreFollower.cpp
@@ -92,7 +92,8 @@
     std::string from;
     while (true) {
         auto const deadline = Core::monotonicNow() + readTimeout;
-        auto page = co_await m_client.readRows(table, part, from, deadline);
+        Platform::RowRange range { std::string(table), std::string(part), from, {}, 0 };
+        auto page = co_await m_client.readRows(std::move(range), deadline);
         if (isError(page)) {
             noteStore(table, false, errorOf(page).detail);
             m_state.metrics
@@ -283,12 +284,10 @@
         co_return;
     auto text = evidenceText(found->second);
     if (m_writtenEvidence[service] != text) {
-        Platform::RowWrite write;
-        write.table = Platform::Table::evidence;
-        write.row = { service, m_vmName, text, 0 };
-        write.isUnconditional = true;
+        Platform::RowTransaction write;
+        write.puts.push_back({ service, m_vmName, text, 0, std::string(Platform::Table::evidence) });
         auto const deadline = Core::monotonicNow() + readTimeout;
-        auto const written = co_await m_client.write(write, deadline);
+        auto const written = co_await m_client.write(std::move(write), deadline);
         if (isError(written))
             noteStore(Platform::Table::evidence, false, errorOf(written).detail);
         else
@@ -351,13 +350,16 @@
         if (!isOpen)
             co_return;
         auto const& move = found->second.move;
-        Platform::RowWrite write;
-        write.table = Platform::Table::results;
-        write.row.key = std::string(Platform::Key::movePrefix) + service;
-        write.row.value = Platform::encodeMoveResult({ service, move.toVersion, state, 0 });
-        write.row.revision = found->second.resultRevision;
+        Platform::StoreRow row;
+        row.table = Platform::Table::results;
+        row.key = std::string(Platform::Key::movePrefix) + service;
+        row.value = Platform::encodeMoveResult({ service, move.toVersion, state, 0 });
+        row.revision = found->second.resultRevision;
+        Platform::RowTransaction write;
+        write.conditions.push_back(row);
+        write.puts.push_back(std::move(row));
         auto const deadline = Core::monotonicNow() + readTimeout;
-        auto const written = co_await m_client.write(write, deadline);
+        auto const written = co_await m_client.write(std::move(write), deadline);
         if (isError(written)) {
             noteStore(Platform::Table::results, false, errorOf(written).detail);
             co_await pause(retryInterval);
--- a/Tests/Fakes/FakePlatform/FaultSwitch.cpp
+++ b/Tests/Fakes/FakePlatform/FaultSwitch.cpp
@@ -9,7 +9,8 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 5> modeNames { "up", "down", "hang", "slow", "lose_answers" };
+constexpr std::array<std::string_view, 8> modeNames { "up", "down", "hang", "slow", "lose_answers", "late", "busy",
+    "too_many" };
 
 }
 
@@ -32,6 +33,8 @@
         return entry && entry->is_int64() && entry->get_int64() >= 0 ? std::optional(entry->get_int64()) : std::nullopt;
     };
     result.delay = std::chrono::milliseconds(number("delay_ms").value_or(0));
+    if (auto const* callers = object.if_contains("callers"); callers && callers->is_string())
+        result.callers = callers->get_string().c_str();
     if (auto count = number("count"))
         result.remaining = static_cast<uint64_t>(*count);
     return result;
@@ -39,8 +42,10 @@
 
 std::string_view FaultSwitch::modeName() const { return modeNames[static_cast<size_t>(mode)]; }
 
-FaultSwitch::Mode FaultSwitch::take()
+FaultSwitch::Mode FaultSwitch::take(std::string_view caller)
 {
+    if (!callers.empty() && callers != caller)
+        return Mode::Up;
     if (remaining && *remaining == 0)
         *this = {};
     else if (remaining)
--- a/Tests/Fakes/FakePlatform/PlatformCalls.cpp
+++ b/Tests/Fakes/FakePlatform/PlatformCalls.cpp
@@ -1,6 +1,7 @@
 #include "PlatformCalls.h"
 #include <boost/json.hpp>
 #include <boost/url/decode_view.hpp>
+#include <charconv>
 
 namespace json = boost::json;
 
@@ -9,10 +10,12 @@
 namespace {
 
 using Answer = PlatformCalls::Answer;
+using Platform::StoreRow;
 
-Answer badRequest(std::string const& reason) { return { 400, json::serialize(json::object { { "error", reason } }) }; }
+constexpr size_t maxEntries = 100;
+constexpr size_t maxNameBytes = 200;
 
-Answer notFound() { return { 404, R"({"error":"not found"})" }; }
+Answer badRequest(std::string const& reason) { return { 400, json::serialize(json::object { { "error", reason } }) }; }
 
 Answer ok(json::object const& object) { return { 200, json::serialize(object) }; }
 
@@ -27,161 +30,215 @@
     return result;
 }
 
-/// The text after the prefix, or nothing.
-std::optional<std::string_view> after(std::string_view text, std::string_view prefix)
+/// The value of a query parameter, or nothing.
+std::optional<std::string> parameter(std::string_view query, std::string_view name)
 {
-    if (!text.starts_with(prefix))
-        return {};
-    return text.substr(prefix.size());
+    while (!query.empty()) {
+        auto const item = query.substr(0, query.find('&'));
+        query.remove_prefix(std::min(item.size() + 1, query.size()));
+        auto const equals = item.find('=');
+        if (item.substr(0, equals) == name)
+            return equals == std::string_view::npos ? std::string() : decode(item.substr(equals + 1));
+    }
+    return std::nullopt;
 }
 
-std::string textOf(json::object const& object, char const* field)
+std::optional<uint64_t> numberOf(std::optional<std::string> const& text)
 {
-    auto const* value = object.if_contains(field);
-    return value && value->is_string() ? std::string(value->get_string()) : std::string();
+    uint64_t number = 0;
+    if (!text || std::from_chars(text->data(), text->data() + text->size(), number).ec != std::errc())
+        return std::nullopt;
+    return number;
 }
 
-json::value parseBody(std::string const& body)
+json::object rowJson(StoreRow const& row)
 {
-    json::error_code code;
-    auto value = json::parse(body, code);
-    return code ? json::value() : value;
+    return { { "table", row.table }, { "part", row.part }, { "key", row.key },
+        { "value", Platform::encodeBase64(row.value) }, { "resource-version", row.revision } };
 }
 
-json::array const* arrayOf(json::value const& value, char const* field)
+/// Reads one of the lists of a transaction. False when it is malformed.
+bool readEntries(json::object const& body, std::string_view name, bool hasValue, std::vector<StoreRow>& rows)
 {
-    if (!value.is_object())
-        return nullptr;
-    auto const* array = value.get_object().if_contains(field);
-    return array ? array->if_array() : nullptr;
+    auto const* const list = body.if_contains(name);
+    if (!list)
+        return true;
+    if (!list->is_array())
+        return false;
+    for (auto const& entry : list->get_array()) {
+        if (!entry.is_object())
+            return false;
+        auto const& object = entry.get_object();
+        auto const text = [&](std::string_view field) -> std::optional<std::string> {
+            auto const* const value = object.if_contains(field);
+            return value && value->is_string() ? std::optional<std::string>(value->get_string().c_str()) : std::nullopt;
+        };
+        auto const table = text("table");
+        auto const key = text("key");
+        if (!table || table->empty() || !key || key->empty() || key->size() > maxNameBytes)
+            return false;
+        StoreRow row { text("part").value_or(""), *key, {}, 0, *table };
+        if (auto const* const revision = object.if_contains("resource-version"))
+            row.revision = revision->to_number<uint64_t>();
+        if (hasValue) {
+            auto const value = text("value");
+            auto bytes = value ? Platform::decodeBase64(*value) : Core::Result<std::string>(Core::Error {});
+            if (isError(bytes))
+                return false;
+            row.value = takeValue(std::move(bytes));
+        }
+        rows.push_back(std::move(row));
+    }
+    return true;
 }
 
-std::optional<Store::Operation> parseOperation(json::value const& value)
+bool isReadOnlyTable(std::string const& table)
 {
-    if (!value.is_object())
-        return {};
-    auto const& object = value.get_object();
-    auto const kind = textOf(object, "op");
-    Store::Operation operation { Store::Operation::Kind::Put, textOf(object, "table"), textOf(object, "key"),
-        Store::anyVersion, textOf(object, "value") };
-    if (kind == "delete")
-        operation.kind = Store::Operation::Kind::Delete;
-    else if (kind == "check")
-        operation.kind = Store::Operation::Kind::Check;
-    else if (kind != "put" || !object.contains("value"))
-        return {};
-    auto const* expected = object.if_contains("expected_version");
-    if (!expected || !expected->is_int64() || expected->get_int64() < Store::anyVersion || operation.table.empty()
-        || operation.key.empty())
-        return {};
-    operation.expectedVersion = expected->get_int64();
-    return operation;
+    return table == Platform::Table::operators || table == Platform::Table::targets;
 }
 
 }
 
-bool PlatformCalls::isWrite(std::string_view method) { return method == "POST" || method == "PUT"; }
+bool PlatformCalls::isWrite(std::string_view method)
+{
+    return method == "POST" || method == "PUT" || method == "DELETE";
+}
 
-Answer PlatformCalls::run(std::string_view method, std::string_view target, std::string const& body)
+std::chrono::milliseconds PlatformCalls::waitOf(std::string_view target)
+{
+    auto const question = target.find('?');
+    if (question == std::string_view::npos || target.substr(0, question) != "/rows-feed")
+        return {};
+    return std::chrono::milliseconds(numberOf(parameter(target.substr(question + 1), "wait-ms")).value_or(0));
+}
+
+bool PlatformCalls::isOverRate(bool isWrite, Clock::time_point now)
+{
+    if (now - m_rateSecond >= std::chrono::seconds(1)) {
+        m_rateSecond = now;
+        m_writesInSecond = m_readsInSecond = 0;
+    }
+    auto& calls = isWrite ? m_writesInSecond : m_readsInSecond;
+    auto const most = isWrite ? m_rates.writesPerSecond : m_rates.readsPerSecond;
+    ++calls;
+    return most > 0 && calls > most;
+}
+
+std::optional<Answer> PlatformCalls::run(std::string_view method, std::string_view target, std::string const& body,
+    CallerRole role, Clock::time_point now, bool mustAnswer)
 {
-    ++(isWrite(method) ? m_writes : m_reads);
-    m_bytesReceived += body.size();
     auto const question = target.find('?');
     auto const path = target.substr(0, question);
     auto const query = question == std::string_view::npos ? std::string_view() : target.substr(question + 1);
-    auto answer = notFound();
-    if (auto rest = after(path, "/v1/tables/"); rest && method == "GET")
-        answer = readTable(*rest, query);
-    else if (path == "/v1/transactions" && method == "POST")
-        answer = transact(body);
-    else if (auto name = after(path, "/v1/objects/"); name && !name->empty())
-        answer = objects(method, decode(*name), body);
-    else if (path == "/v1/vms")
-        answer = vms(method, body);
-    m_bytesSent += answer.body.size();
+    if (role == CallerRole::System && isOverRate(isWrite(method), now))
+        return Answer { 429, "{}" };
+    std::optional<Answer> answer = Answer { 404, R"({"error":"not found"})" };
+    if (path == "/rows-get" && method == "GET")
+        answer = readRows(query);
+    else if (path == "/rows-feed" && method == "GET")
+        answer = feed(query, mustAnswer);
+    else if (path == "/rows-tx" && method == "POST")
+        answer = transact(body, role);
+    else if (path.starts_with("/blob-"))
+        answer = objects(method, path, body);
+    if (!answer)
+        return answer;
+    ++(isWrite(method) ? m_writes : m_reads);
+    m_bytesReceived += body.size();
+    m_bytesSent += answer->body.size();
     return answer;
 }
 
-Answer PlatformCalls::readTable(std::string_view path, std::string_view query) const
+Answer PlatformCalls::readRows(std::string_view query) const
 {
-    auto const slash = path.find('/');
-    auto const table = decode(path.substr(0, slash));
-    if (slash != std::string_view::npos) {
-        auto const row = m_store.row(table, decode(path.substr(slash + 1)));
-        return row ? ok({ { "version", row->version }, { "value", row->value } }) : notFound();
-    }
-    auto const prefix = after(query, "prefix=");
-    if (!prefix)
-        return badRequest("prefix is required");
+    Platform::RowRange range;
+    range.table = parameter(query, "table").value_or("");
+    range.part = parameter(query, "part").value_or("");
+    range.from = parameter(query, "from").value_or("");
+    range.to = parameter(query, "to").value_or("");
+    range.limit = static_cast<unsigned>(numberOf(parameter(query, "limit")).value_or(0));
+    if (range.table.empty())
+        return badRequest("table is required");
+    bool hasMore = false;
     json::array rows;
-    for (auto const& row : m_store.rows(table, decode(*prefix)))
-        rows.emplace_back(json::object { { "key", row.key }, { "version", row.version }, { "value", row.value } });
-    return ok({ { "rows", std::move(rows) } });
+    for (auto const& row : m_tables.rows(range, hasMore))
+        rows.emplace_back(rowJson(row));
+    return ok({ { "rows", std::move(rows) }, { "has-more", hasMore }, { "resource-version", m_tables.revision() },
+        { "now-s", 0.0 } });
 }
 
-Answer PlatformCalls::transact(std::string const& body)
+std::optional<Answer> PlatformCalls::feed(std::string_view query, bool mustAnswer) const
 {
-    auto const value = parseBody(body);
-    auto const* array = arrayOf(value, "operations");
-    if (!array || array->empty())
-        return badRequest("operations are required");
-    std::vector<Store::Operation> operations;
-    for (auto const& element : *array) {
-        auto operation = parseOperation(element);
-        if (!operation)
-            return badRequest("operation " + std::to_string(operations.size()) + " is malformed");
-        operations.push_back(std::move(*operation));
-    }
-    auto const result = m_store.transact(operations);
-    if (result.isCommitted())
-        return ok({ { "versions", json::value_from(result.versions) } });
-    ++m_conflicts;
-    json::array conflicts;
-    for (auto const& conflict : result.conflicts) {
-        conflicts.emplace_back(
-            json::object { { "index", conflict.index }, { "version", conflict.version }, { "value", conflict.value } });
+    auto const table = parameter(query, "table");
+    auto const after = numberOf(parameter(query, "after"));
+    if (!table || !after)
+        return badRequest("table and after are required");
+    auto const changes = m_tables.changesAfter(*table, *after);
+    if (!changes)
+        return Answer { 410, "{}" };
+    if (changes->empty() && !mustAnswer)
+        return std::nullopt;
+    json::array rows;
+    for (auto const& change : *changes) {
+        auto row = rowJson(change.row);
+        if (change.isTombstone)
+            row["tombstone"] = true;
+        rows.emplace_back(std::move(row));
     }
-    return { 409, json::serialize(json::object { { "conflicts", std::move(conflicts) } }) };
+    return ok({ { "rows", std::move(rows) }, { "resource-version", m_tables.revision() }, { "now-s", 0.0 } });
 }
 
-Answer PlatformCalls::objects(std::string_view method, std::string const& name, std::string const& body)
+Answer PlatformCalls::transact(std::string const& body, CallerRole role)
 {
-    if (method == "PUT") {
-        m_store.putObject(name, body);
-        return ok({});
+    json::error_code code;
+    auto const value = json::parse(body, code);
+    if (code || !value.is_object())
+        return badRequest("the body is not an object");
+    Platform::RowTransaction transaction;
+    auto const& object = value.get_object();
+    bool const isRead = readEntries(object, "precondition", false, transaction.conditions)
+        && readEntries(object, "puts", true, transaction.puts)
+        && readEntries(object, "deletes", false, transaction.deletes);
+    auto const entries = transaction.conditions.size() + transaction.puts.size() + transaction.deletes.size();
+    if (!isRead || entries == 0 || entries > maxEntries)
+        return badRequest("the entries are malformed");
+    for (auto const* list : { &transaction.puts, &transaction.deletes }) {
+        for (auto const& row : *list) {
+            if (role == CallerRole::System && isReadOnlyTable(row.table))
+                return { 403, R"({"error":"the table is not the system's"})" };
+        }
     }
-    auto content = m_store.object(name);
-    return content ? Answer { 200, std::move(*content) } : notFound();
+    std::vector<StoreRow> conflicts;
+    auto const revision = m_tables.transact(transaction, conflicts);
+    if (revision)
+        return ok({ { "resource-version", *revision }, { "now-s", 0.0 } });
+    ++m_conflicts;
+    json::array rows;
+    for (auto const& row : conflicts)
+        rows.emplace_back(rowJson(row));
+    return { 412,
+        json::serialize(json::object { { "rows", std::move(rows) }, { "resource-version", m_tables.revision() } }) };
 }
 
-Answer PlatformCalls::vms(std::string_view method, std::string const& body)
+std::optional<Answer> PlatformCalls::objects(std::string_view method, std::string_view path, std::string const& body)
 {
-    if (method == "PUT") {
-        auto const value = parseBody(body);
-        auto const* array = arrayOf(value, "vms");
-        if (!array)
-            return badRequest("vms are required");
-        std::vector<Store::Vm> list;
-        for (auto const& element : *array) {
-            if (!element.is_object())
-                return badRequest("a VM must be an object");
-            auto const& object = element.get_object();
-            auto const state = textOf(object, "state");
-            if (state != "live" && state != "leaving")
-                return badRequest("state must be live or leaving");
-            list.push_back({ textOf(object, "name"), textOf(object, "address"), textOf(object, "availability_zone"),
-                state == "live" ? Store::Vm::State::Live : Store::Vm::State::Leaving });
-        }
-        m_store.setVms(std::move(list));
+    auto const slash = path.find('/', 1);
+    auto const call = path.substr(0, slash);
+    auto const name = slash == std::string_view::npos ? std::string() : decode(path.substr(slash + 1));
+    if (call == "/blob-put" && method == "PUT") {
+        m_tables.objects[name] = body;
         return ok({});
     }
-    json::array array;
-    for (auto const& vm : m_store.vms()) {
-        array.emplace_back(
-            json::object { { "name", vm.name }, { "address", vm.address }, { "availability_zone", vm.availabilityZone },
-                { "state", vm.state == Store::Vm::State::Live ? "live" : "leaving" } });
+    auto const found = m_tables.objects.find(name);
+    if (found == m_tables.objects.end())
+        return Answer { 404, "{}" };
+    if (call == "/blob-get" && method == "GET")
+        return Answer { 200, found->second, "application/octet-stream" };
+    if (call == "/blob-drop" && method == "DELETE") {
+        m_tables.objects.erase(found);
+        return ok({});
     }
-    return ok({ { "vms", std::move(array) } });
+    return badRequest("no such call");
 }
 
 std::string PlatformCalls::stats(std::string_view mode) const
--- a/Tests/Fakes/FakePlatform/PlatformCalls.h
+++ b/Tests/Fakes/FakePlatform/PlatformCalls.h
@@ -1,35 +1,64 @@
 #pragma once
 
-#include <LibStore/MemoryStore.h>
-#include <cstdint>
+#include "RowTables.h"
+#include <chrono>
+#include <optional>
 #include <string>
 #include <string_view>
 
 namespace Comfreysail::Fakes {
 
-/// The calls of the platform protocol on a store in memory. Faults are the server's part.
+/// Who calls. Operators and targets write the tables that the system may only read.
+enum class CallerRole : uint8_t {
+    System,
+    Operator,
+};
+
+/// Calls of all callers together that the platform takes in one second; 0 for no limit.
+struct CallRates {
+    unsigned writesPerSecond { 0 };
+    unsigned readsPerSecond { 0 };
+};
+
+/// The calls of the platform's store on its tables, without a network.
 class PlatformCalls {
 public:
+    using Clock = std::chrono::steady_clock;
+
     struct Answer {
         unsigned status { 200 };
         std::string body;
+        std::string contentType { "application/json" };
     };
 
+    explicit PlatformCalls(CallRates rates = {})
+        : m_rates(rates)
+    {
+    }
+
     static bool isWrite(std::string_view method);
 
-    /// `target` is the path with query, percent-encoded.
-    Answer run(std::string_view method, std::string_view target, std::string const& body);
+    /// Nothing for a feed without a change yet; the caller asks again later, and passes `mustAnswer` at the end.
+    std::optional<Answer> run(std::string_view method, std::string_view target, std::string const& body, CallerRole,
+        Clock::time_point now, bool mustAnswer);
+    /// How long a feed call waits for a change; 0 for other calls.
+    static std::chrono::milliseconds waitOf(std::string_view target);
 
-    /// JSON for GET /stats.
+    void dropHistory() { m_tables.dropHistory(); }
     std::string stats(std::string_view mode) const;
 
 private:
-    Answer readTable(std::string_view path, std::string_view query) const;
-    Answer transact(std::string const& body);
-    Answer objects(std::string_view method, std::string const& name, std::string const& body);
-    Answer vms(std::string_view method, std::string const& body);
+    bool isOverRate(bool isWrite, Clock::time_point now);
+    Answer readRows(std::string_view query) const;
+    Answer transact(std::string const& body, CallerRole);
+    std::optional<Answer> feed(std::string_view query, bool mustAnswer) const;
+    std::optional<Answer> objects(std::string_view method, std::string_view path, std::string const& body);
 
-    Store::MemoryStore m_store;
+    CallRates m_rates;
+    RowTables m_tables;
+    Clock::time_point m_rateSecond {};
+    unsigned m_writesInSecond { 0 };
+    unsigned m_readsInSecond { 0 };
     uint64_t m_reads { 0 };
     uint64_t m_writes { 0 };
     uint64_t m_conflicts { 0 };
--- a/Tests/Fakes/FakePlatform/PlatformServer.cpp
+++ b/Tests/Fakes/FakePlatform/PlatformServer.cpp
@@ -27,12 +27,14 @@
 
 }
 
-PlatformServer::PlatformServer(asio::io_context& context, Endpoint main, std::optional<Endpoint> control)
+PlatformServer::PlatformServer(
+    asio::io_context& context, Endpoint main, std::optional<Endpoint> control, CallRates rates)
     : m_context(context)
     , m_main(std::move(main))
     , m_control(std::move(control))
     , m_mainAcceptor(context)
     , m_controlAcceptor(context)
+    , m_calls(rates)
 {
 }
 
@@ -96,13 +98,18 @@
         std::string const method(request.method_string());
         std::string const target(request.target());
         auto reply = control(method, target, request.body());
-        if (!reply && !isControl)
-            reply = co_await answer(method, target, request.body());
+        if (!reply && isControl)
+            reply
+                = m_calls.run(method, target, request.body(), CallerRole::Operator, PlatformCalls::Clock::now(), true);
+        boost::system::error_code unknown;
+        auto caller = stream->socket().remote_endpoint(unknown).address().to_string();
+        if (!reply)
+            reply = co_await answer(method, target, request.body(), std::move(caller));
         if (!reply)
             co_return;
         http::response<http::string_body> response { static_cast<http::status>(reply->status), 11,
             std::move(reply->body) };
-        response.set(http::field::content_type, "application/json");
+        response.set(http::field::content_type, reply->contentType);
         response.keep_alive(request.keep_alive());
         response.prepare_payload();
         auto const [writeCode, written] = co_await http::async_write(*stream, response, useTuple);
@@ -113,9 +120,9 @@
 
 /// std::nullopt: close the connection.
 asio::awaitable<std::optional<PlatformCalls::Answer>> PlatformServer::answer(
-    std::string method, std::string target, std::string body)
+    std::string method, std::string target, std::string body, std::string caller)
 {
-    switch (m_faults.take()) {
+    switch (m_faults.take(caller)) {
     case FaultSwitch::Mode::Down:
         co_return std::nullopt;
     case FaultSwitch::Mode::Hang:
@@ -126,15 +133,44 @@
         co_await wait(m_faults.delay);
         break;
     case FaultSwitch::Mode::LoseAnswers: {
-        auto reply = m_calls.run(method, target, body);
+        auto reply = co_await runCall(method, target, body);
         if (PlatformCalls::isWrite(method))
             co_return std::nullopt;
         co_return reply;
     }
+    case FaultSwitch::Mode::Late:
+        if (PlatformCalls::isWrite(method)) {
+            asio::co_spawn(
+                m_context,
+                [this, delay = m_faults.delay, method, target, body]() -> asio::awaitable<void> {
+                    co_await wait(delay);
+                    co_await runCall(method, target, body);
+                },
+                asio::detached);
+            co_return std::nullopt;
+        }
+        break;
+    case FaultSwitch::Mode::Busy:
+        co_return PlatformCalls::Answer { 503, "{}" };
+    case FaultSwitch::Mode::TooMany:
+        co_return PlatformCalls::Answer { 429, "{}" };
     case FaultSwitch::Mode::Up:
         break;
     }
-    co_return m_calls.run(method, target, body);
+    auto reply = co_await runCall(method, target, body);
+    co_return reply;
+}
+
+asio::awaitable<PlatformCalls::Answer> PlatformServer::runCall(std::string method, std::string target, std::string body)
+{
+    auto const until = PlatformCalls::Clock::now() + PlatformCalls::waitOf(target);
+    while (true) {
+        auto const now = PlatformCalls::Clock::now();
+        auto reply = m_calls.run(method, target, body, CallerRole::System, now, now >= until);
+        if (reply)
+            co_return *reply;
+        co_await wait(hangCheckInterval);
+    }
 }
 
 std::optional<PlatformCalls::Answer> PlatformServer::control(
@@ -142,11 +178,16 @@
 {
     if (target == "/stats" && method == "GET")
         return PlatformCalls::Answer { 200, m_calls.stats(m_faults.modeName()) };
+    if (target == "/drop-history" && method == "POST") {
+        m_calls.dropHistory();
+        return PlatformCalls::Answer { 200, "{}" };
+    }
     if (target != "/faults" || method != "POST")
         return {};
     auto const faults = FaultSwitch::fromJson(body);
     if (!faults)
-        return PlatformCalls::Answer { 400, R"({"error":"mode must be up, down, hang, slow or lose_answers"})" };
+        return PlatformCalls::Answer { 400,
+            R"({"error":"mode must be up, down, hang, slow, lose_answers, late, busy or too_many"})" };
     setFaults(*faults);
     return PlatformCalls::Answer { 200, m_calls.stats(m_faults.modeName()) };
 }
--- a/Tests/Fakes/FakePlatform/PlatformServer.h
+++ b/Tests/Fakes/FakePlatform/PlatformServer.h
@@ -17,8 +17,9 @@
 public:
     using Endpoint = boost::asio::ip::tcp::endpoint;
 
-    /// With a control endpoint, mode "down" also closes the main port, so that connections are refused.
-    PlatformServer(boost::asio::io_context&, Endpoint main, std::optional<Endpoint> control);
+    /// On the control endpoint, /rows-tx writes as the operators and targets do. With it, mode "down" also closes the
+    /// main port, so that connections are refused.
+    PlatformServer(boost::asio::io_context&, Endpoint main, std::optional<Endpoint> control, CallRates = {});
 
     /// Starts to accept. Throws boost::system::system_error when a port is taken.
     void start();
@@ -35,7 +36,8 @@
     boost::asio::awaitable<void> accept(Acceptor&, bool isControl);
     boost::asio::awaitable<void> serve(std::shared_ptr<Stream>, bool isControl);
     boost::asio::awaitable<std::optional<PlatformCalls::Answer>> answer(
-        std::string method, std::string target, std::string body);
+        std::string method, std::string target, std::string body, std::string caller);
+    boost::asio::awaitable<PlatformCalls::Answer> runCall(std::string method, std::string target, std::string body);
     std::optional<PlatformCalls::Answer> control(
         std::string_view method, std::string_view target, std::string const& body);
     void setFaults(FaultSwitch);
--- a/Tests/Fakes/FakePlatform/main.cpp
+++ b/Tests/Fakes/FakePlatform/main.cpp
@@ -5,6 +5,7 @@
 
 namespace options = boost::program_options;
 
+using Comfreysail::Fakes::CallRates;
 using Comfreysail::Fakes::PlatformServer;
 
 namespace {
@@ -16,7 +17,8 @@
     std::optional<PlatformServer::Endpoint> control;
     if (values.contains("control-port"))
         control.emplace(address, values["control-port"].as<uint16_t>());
-    PlatformServer server(context, { address, values["port"].as<uint16_t>() }, control);
+    CallRates const rates { values["writes-per-second"].as<unsigned>(), values["reads-per-second"].as<unsigned>() };
+    PlatformServer server(context, { address, values["port"].as<uint16_t>() }, control, rates);
     server.start();
     std::cout << "listening host=" << address.to_string() << " port=" << server.mainEndpoint().port();
     if (server.controlEndpoint())
@@ -32,13 +34,17 @@
 
 int main(int argc, char** argv)
 {
-    options::options_description description("FakePlatform: the platform's table service, object store and VM list in "
-                                             "memory, for tests.\nOptions");
+    options::options_description description("FakePlatform: the platform's store of rows and objects in memory, for "
+                                             "tests.\nOptions");
     description.add_options()("help", "print this help")(
         "host", options::value<std::string>()->default_value("127.0.0.1"), "address to listen on")("port",
         options::value<uint16_t>()->default_value(0),
         "port to listen on; 0 takes a free one and prints it")("control-port", options::value<uint16_t>(),
-        "second port for /faults and /stats only; with it, mode \"down\" refuses connections on the main port");
+        "second port for /faults, /stats and writes of the operators; with it, mode \"down\" refuses connections on "
+        "the "
+        "main port")("writes-per-second", options::value<unsigned>()->default_value(0),
+        "calls that write, of all callers together; more are answered 429")(
+        "reads-per-second", options::value<unsigned>()->default_value(0), "calls that read, likewise");
     try {
         options::variables_map values;
         options::store(options::parse_command_line(argc, argv, description), values);
--- a/Tests/LibStore/TestApplyChange.cpp
+++ b/Tests/LibStore/TestApplyChange.cpp
@@ -1,5 +1,5 @@
-#include "Waiting.h"
 #include <Support/SettingsText.h>
+#include <Support/Waiting.h>
 #include <catch2/catch.hpp>
 
 using namespace Comfreysail;
--- a/Tests/LibStore/TestChangeMove.cpp
+++ b/Tests/LibStore/TestChangeMove.cpp
@@ -1,6 +1,6 @@
-#include "Waiting.h"
 #include <LibSettings/Settings.h>
 #include <Support/SettingsText.h>
+#include <Support/Waiting.h>
 #include <catch2/catch.hpp>
 
 using namespace Comfreysail;
--- /dev/null
+++ b/Tests/Platform/TestDecode.cpp
@@ -0,0 +1,136 @@
+#include <catch2/catch.hpp>
+#include <platform/Platform.h>
+
+using namespace Comfreysail;
+using namespace Comfreysail::Platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct DecodeFixture {
+    std::string const plan = R"({"version":7,"routes":[
+        {"name":"r1","host":"A.example","prefix":"/pay/","kind":"unsafe","timeout-s":1.5,"target-latency-s":0.4,
+         "priority":1,"service":"orders","max-attempts":2},
+        {"name":"r2","host":"a.example","prefix":"/files/","kind":"download","timeout-s":2,"split":[
+         {"service":"records","weight":90},{"service":"orders","weight":10}]}],
+        "services":[{"name":"orders","health-path":"/health","max-conns":220,"cold-per-s":4.8,"new-field":[]}],
+        "limits":{"max-header-bytes":16384,"max-body-bytes":1000}})";
+    std::string const target = R"({"service":"orders","addr":"10.0.0.9:8080","zone":"z1","version":"v1","slots":2,
+        "state":"ready","cold-left-s":1.5,"sequence":4,"born":1700000000123})";
+
+    static StoreRow row(std::string const& key, std::string const& value) { return { "", key, value, 9, "op" }; }
+
+    static std::string replaced(std::string text, std::string const& part, std::string const& with)
+    {
+        auto const position = text.find(part);
+        REQUIRE(position != std::string::npos);
+        return text.replace(position, part.size(), with);
+    }
+};
+
+}
+
+TEST_CASE_METHOD(DecodeFixture, "DecodePlan_EveryField_IsInTheProductsTerms")
+{
+    auto const decoded = decodePlan(row("config", plan));
+    REQUIRE_FALSE(isError(decoded));
+    auto const& value = valueOf(decoded);
+    CHECK(value.revision == 7);
+    REQUIRE(value.routes.size() == 2);
+    CHECK(value.routes[0]
+        == Traffic::RequestRoute { "r1", "a.example", "/pay/", Traffic::Repeatability::AtMostOnce, false, 1500ms, 400ms,
+            2, 1, { { "orders", 1 } } });
+    CHECK(value.routes[1].isDownload);
+    CHECK(value.routes[1].repeatability == Traffic::Repeatability::Idempotent);
+    CHECK(value.routes[1].shares == std::vector<Traffic::ServiceShare> { { "records", 90 }, { "orders", 10 } });
+    CHECK(value.services.at("orders") == Traffic::ServicePlan { "/health", 220, 4.8 });
+    CHECK(value.limits == Traffic::CallerLimits { 16384, 1000 });
+}
+
+// An unknown kind must not be repeated: a request that may run once would run twice.
+TEST_CASE_METHOD(DecodeFixture, "DecodePlan_UnknownKind_RunsAtMostOnce")
+{
+    auto const decoded = decodePlan(row("config", replaced(plan, "unsafe", "keyed")));
+    CHECK(valueOf(decoded).routes[0].repeatability == Traffic::Repeatability::AtMostOnce);
+}
+
+// Rows of another writer or of a faulty one must be refused with the field, not taken with a wrong value.
+TEST_CASE_METHOD(DecodeFixture, "DecodePlan_FaultyRow_IsRefusedWithTheField")
+{
+    auto const [part, with, fault] = GENERATE(table<std::string, std::string, std::string>({
+        { R"("version":7)", R"("version":"7")", "version is not a whole number" },
+        { R"("routes":[)", R"("routes":{},"x":[)", "routes is not a list" },
+        { R"("host":"A.example")", R"("host":4)", "host is not a text" },
+        { R"("timeout-s":1.5)", R"("timeout-s":-1)", "timeout-s is not a number that is not negative" },
+        { R"("timeout-s":1.5,)", "", "timeout-s is not there" },
+        { R"("weight":90)", R"("weight":"90")", "weight is not a number that is not negative" },
+        { R"({"version")", R"([{"version")", "not a JSON object" },
+    }));
+    CAPTURE(part, with);
+    auto const decoded = decodePlan(row("config", replaced(plan, part, with)));
+    REQUIRE(isError(decoded));
+    CHECK(errorOf(decoded).kind == Core::ErrorKind::MalformedMessage);
+    CHECK(errorOf(decoded).detail == "config: " + fault);
+}
+
+TEST_CASE_METHOD(DecodeFixture, "DecodeTarget_EveryField_IsInTheProductsTerms")
+{
+    auto const decoded = decodeTarget(row("i-1", target));
+    REQUIRE_FALSE(isError(decoded));
+    CHECK(valueOf(decoded)
+        == Traffic::RegisteredTarget { "i-1", "orders", "10.0.0.9", 8080, "z1", "v1", 2,
+            Traffic::RegistrationState::Ready, 1500ms, 1700000000123 });
+    auto const draining = decodeTarget(row("i-1", replaced(target, R"("ready")", R"("draining")")));
+    CHECK(valueOf(draining).state == Traffic::RegistrationState::Draining);
+}
+
+// A row of another writer names no target to use; taking it would send requests to an unknown place.
+TEST_CASE_METHOD(DecodeFixture, "DecodeTarget_FaultyRow_IsRefused")
+{
+    auto const [part, with] = GENERATE(table<std::string, std::string>({
+        { R"("state":"ready")", R"("state":"sleeping")" },
+        { R"("state":"ready",)", "" },
+        { R"("addr":"10.0.0.9:8080")", R"("addr":"10.0.0.9")" },
+        { R"("addr":"10.0.0.9:8080")", R"("addr":"10.0.0.9:99999")" },
+        { R"("slots":2)", R"("slots":"2")" },
+        { R"("zone":"z1")", R"("zone":null)" },
+        { R"("born":1700000000123)", R"("born":"x")" },
+        { "{", "\xff" },
+    }));
+    CAPTURE(part, with);
+    CHECK(isError(decodeTarget(row("i-1", replaced(target, part, with)))));
+}
+
+TEST_CASE_METHOD(DecodeFixture, "MoveResult_EncodedAndDecoded_IsTheSame")
+{
+    auto const state
+        = GENERATE(Traffic::MoveState::Running, Traffic::MoveState::Completed, Traffic::MoveState::RolledBack);
+    auto const text = encodeMoveResult({ "orders", "v2", state, 0 });
+    auto const decoded = decodeMoveResult(row("rollout/orders", text));
+    CHECK(valueOf(decoded) == Traffic::MoveResult { "orders", "v2", state, 9 });
+    auto const move = decodeMove(row("rollout/orders", R"({"service":"orders","to":"v2","duration-s":12})"));
+    CHECK(valueOf(move) == Traffic::VersionMove { "orders", "v2", 12s, 9 });
+}
+
+TEST_CASE("Base64_AnyBytes_AreRestored")
+{
+    for (size_t length = 0; length < 20; ++length) {
+        std::string bytes;
+        for (size_t index = 0; index < length; ++index)
+            bytes.push_back(static_cast<char>(index * 37));
+        CHECK(valueOf(decodeBase64(encodeBase64(bytes))) == bytes);
+    }
+    for (auto const* faulty : { "a$b=", "ab=c", "=====" })
+        CHECK(isError(decodeBase64(faulty)));
+}
+
+// One row that cannot be read must not hide the others.
+TEST_CASE("DecodeRowPage_ValueThatIsNotBase64_KeepsTheOtherRows")
+{
+    auto const page = decodeRowPage(R"({"rows":[
+        {"table":"servers","part":"","key":"a","value":"%%%","resource-version":1},
+        {"table":"servers","part":"","key":"b","value":"dg==","resource-version":2}],
+        "has-more":true,"resource-version":5,"now-s":1.5})");
+    REQUIRE_FALSE(isError(page));
+    CHECK(valueOf(page) == RowPage { { { "", "a", "", 1, "servers" }, { "", "b", "v", 2, "servers" } }, true, 5 });
+}
--- a/Tests/LibStore/TestHttpStore.cpp
+++ b/Tests/Platform/TestRowStore.cpp
@@ -1,12 +1,12 @@
-#include "Waiting.h"
 #include <LibStore/HttpCaller.h>
-#include <LibStore/HttpStore.h>
 #include <Support/ChildProcess.h>
 #include <Support/ScriptedServer.h>
 #include <Support/SettingsText.h>
+#include <Support/Waiting.h>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
+#include <platform/RowStore.h>
 #include <thread>
 
 using namespace Comfreysail;
@@ -33,18 +33,18 @@
     {
         options.address = "127.0.0.1";
         options.port = port;
-        return makeHttpStore(context.get_executor(), options);
+        return Platform::makeStorePort(context.get_executor(), options);
     }
 };
 
 /// The platform's test double as a process, with a control port.
-struct Platform {
+struct PlatformProcess {
     Tests::ChildProcess process { { COMFREYSAIL_BIN_DIR "/FakePlatform", "--control-port", "0" } };
     uint16_t port { 0 };
     uint16_t controlPort { 0 };
     Network network;
 
-    Platform()
+    PlatformProcess()
     {
         auto const line = process.readLine();
         port = static_cast<uint16_t>(std::stoi(line.substr(line.find(" port=") + 6)));
@@ -95,9 +95,9 @@
 
 }
 
-TEST_CASE("HttpStore_EveryCall_DoesWhatTheProtocolSays")
+TEST_CASE("RowStore_EveryCall_DoesWhatTheProtocolSays")
 {
-    Platform platform;
+    PlatformProcess platform;
     auto const store = platform.store();
     std::string const key = "a/b ?#%é";
     std::string const value = "line\n\"quoted\" \\ \x01 é";
@@ -147,17 +147,21 @@
 };
 
 // "Unavailable" must mean that no byte arrived: the caller then treats the write as not done.
-TEST_CASE("HttpStore_PlatformAtFault_TellsUnavailableFromUnknown")
+TEST_CASE("RowStore_PlatformAtFault_TellsUnavailableFromUnknown")
 {
     auto const example = GENERATE(values<FaultCase>({
         { R"({"mode":"down"})", ErrorKind::StoreUnavailable, false, ErrorKind::StoreUnavailable },
         { R"({"mode":"hang"})", ErrorKind::StoreOutcomeUnknown, false, ErrorKind::StoreUnavailable },
         { R"({"mode":"slow","delay_ms":400})", ErrorKind::StoreOutcomeUnknown, true, ErrorKind::StoreUnavailable },
         { R"({"mode":"lose_answers"})", ErrorKind::StoreOutcomeUnknown, true, {} },
+        { R"({"mode":"late","delay_ms":300})", ErrorKind::StoreOutcomeUnknown, true, {} },
+        { R"({"mode":"busy"})", ErrorKind::StoreOutcomeUnknown, false, ErrorKind::StoreUnavailable },
+        { R"({"mode":"too_many"})", ErrorKind::StoreUnavailable, false, ErrorKind::StoreUnavailable },
+        { R"({"mode":"down","callers":"127.0.0.1"})", ErrorKind::StoreUnavailable, false, ErrorKind::StoreUnavailable },
     }));
     auto const hasIdleConnection = GENERATE(false, true);
     CAPTURE(example.faults, hasIdleConnection);
-    Platform platform;
+    PlatformProcess platform;
     auto const store = platform.store();
     if (hasIdleConnection)
         REQUIRE_FALSE(Core::isError(read(store, "t", "k")));
@@ -177,9 +181,9 @@
 }
 
 // A kept-alive connection that the platform closed while idle must neither fail a read nor make a write uncertain.
-TEST_CASE("HttpStore_IdleConnectionClosed_IsReplaced")
+TEST_CASE("RowStore_IdleConnectionClosed_IsReplaced")
 {
-    Platform platform;
+    PlatformProcess platform;
     auto const store = platform.store();
     REQUIRE_FALSE(Core::isError(read(store, "t", "k")));
     platform.control(R"({"mode":"down"})");
@@ -187,7 +191,7 @@
     CHECK(Core::valueOf(transact(store, { put("k", 0, "v") })).isCommitted());
 }
 
-TEST_CASE("HttpStore_PastDeadlineOrNoPlatform_IsUnavailable")
+TEST_CASE("RowStore_PastDeadlineOrNoPlatform_IsUnavailable")
 {
     Network network;
     uint16_t port = 0;
@@ -196,7 +200,7 @@
         port = gone.port();
     }
     CHECK(kindOf(transact(network.store(port), { put("k", 0, "v") })) == ErrorKind::StoreUnavailable);
-    Platform platform;
+    PlatformProcess platform;
     CHECK(kindOf(transact(platform.store(), { put("k", 0, "v") }, Core::monotonicNow() - 1ms))
         == ErrorKind::StoreUnavailable);
     CHECK(Core::valueOf(read(platform.store(), "t", "k")) == std::nullopt);
@@ -210,7 +214,7 @@
 };
 
 // An answer that is not as the protocol says must not pass as "written" or "not written".
-TEST_CASE("HttpStore_MalformedAnswer_IsAnError")
+TEST_CASE("RowStore_MalformedAnswer_IsAnError")
 {
     constexpr auto none = ErrorKind::StoreUnavailable;
     constexpr auto unknown = ErrorKind::StoreOutcomeUnknown;
@@ -219,14 +223,18 @@
         { "cut", "HTTP/1.1 200 X\r\nContent-Length: 100\r\n\r\n{", none, unknown },
         { "no JSON", ScriptedServer::answer(200, "x"), none, unknown },
         { "missing fields", ScriptedServer::answer(200, "{}"), none, unknown },
-        { "too few versions", ScriptedServer::answer(200, R"({"versions":[]})"), none, unknown },
+        { "revision is a text", ScriptedServer::answer(200, R"({"resource-version":"5","rows":[]})"), none, unknown },
         { "server error", ScriptedServer::answer(503, "{}"), none, unknown },
         { "too large",
-            ScriptedServer::answer(200, R"({"version":1,"value":"","versions":[1]})" + std::string(2000, ' ')), none,
-            unknown },
-        { "conflict without rows", ScriptedServer::answer(409, R"({"conflicts":[]})"), ErrorKind::Internal, none },
-        { "conflict elsewhere", ScriptedServer::answer(409, R"({"conflicts":[{"index":1,"version":1}]})"),
+            ScriptedServer::answer(
+                200, R"({"resource-version":1,"rows":[],"has-more":false})" + std::string(2000, ' ')),
+            none, unknown },
+        { "conflict without rows", ScriptedServer::answer(412, R"({"rows":[]})"), ErrorKind::Internal, none },
+        { "conflict elsewhere",
+            ScriptedServer::answer(
+                412, R"({"rows":[{"table":"t","part":"","key":"x","value":"","resource-version":1}]})"),
             ErrorKind::Internal, none },
+        { "too many calls", ScriptedServer::answer(429, "{}"), none, none },
         { "refused", ScriptedServer::answer(400, "no"), ErrorKind::Internal, ErrorKind::Internal },
     }));
     CAPTURE(example.name);
@@ -240,25 +248,24 @@
 }
 
 // The bytes on the wire are the contract with the real platform; client and test double could share a misreading.
-TEST_CASE("HttpStore_Transaction_IsWrittenAsTheProtocolSays")
+TEST_CASE("RowStore_Transaction_IsWrittenAsTheProtocolSays")
 {
-    ScriptedServer const server([](auto const&) { return ScriptedServer::answer(200, R"({"versions":[5,0]})"); });
+    ScriptedServer const server([](auto const&) { return ScriptedServer::answer(200, R"({"resource-version":5})"); });
     Network network;
     auto const result = transact(
         network.store(server.port()), { put("k", 0, "v"), { Operation::Kind::Check, "t 2", "x", anyVersion } });
     CHECK(Core::valueOf(result).versions == std::vector<uint64_t> { 5, 0 });
     auto const request = server.requests().at(0);
-    CHECK_THAT(request, Catch::Matchers::StartsWith("POST /v1/transactions HTTP/1.1\r\n"));
+    CHECK_THAT(request, Catch::Matchers::StartsWith("POST /rows-tx HTTP/1.1\r\n"));
     CHECK_THAT(request,
-        Catch::Matchers::EndsWith(
-            R"({"operations":[{"op":"put","table":"t","key":"k","expected_version":0,"value":"v"},)"
-            R"({"op":"check","table":"t 2","key":"x","expected_version":-1}]})"));
+        Catch::Matchers::EndsWith(R"({"precondition":[{"table":"t","part":"","key":"k","resource-version":0}],)"
+                                  R"("puts":[{"table":"t","part":"","key":"k","value":"dg=="}],"deletes":[]})"));
 }
 
 // A change over HTTP with every answer lost: the own row decides.
 TEST_CASE("ApplyChange_OverHttpWithLostAnswers_IsAcceptedOnce")
 {
-    Platform platform;
+    PlatformProcess platform;
     platform.control(R"({"mode":"lose_answers"})");
     auto const result = Tests::apply(platform.store(), { "c1", Tests::settingsText(), {} });
     REQUIRE_FALSE(Core::isError(result));
--- a/Tests/comfreysail/TestComfreysail.cpp
+++ b/Tests/comfreysail/TestComfreysail.cpp
@@ -8,6 +8,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <platform/Platform.h>
 
 namespace json = boost::json;
 
@@ -228,9 +229,12 @@
 {
     FakeAdmin const daemon("vm-1", false);
     auto const port = daemon.address().substr(10);
-    curl("PUT", "/v1/vms",
-        R"({"vms":[{"name":"vm-1","address":"127.0.0.1","availability_zone":"z","state":"live"},)"
-        R"({"name":"vm-2","address":"127.0.0.1","availability_zone":"z","state":"leaving"}]})");
+    Platform::RowTransaction vms;
+    for (std::string const state : { "live", "leaving" }) {
+        auto const value = R"({"address":"127.0.0.1","availability_zone":"z","state":")" + state + "\"}";
+        vms.puts.push_back({ "", state == "live" ? "vm-1" : "vm-2", value, 0, std::string(Platform::Table::vms) });
+    }
+    curl("POST", "/rows-tx", Platform::transactionRequest(vms, {}).body);
     auto const all = tool({ "status", "--admin-port", port });
     CHECK(all.code == 0);
     CHECK(all.output == "vm-1 " + daemon.address() + " revision=0 ready=true\n");
--- a/Utilities/comfreysail/ToolContext.cpp
+++ b/Utilities/comfreysail/ToolContext.cpp
@@ -1,10 +1,10 @@
 #include "ToolContext.h"
 #include <LibStore/HttpCaller.h>
-#include <LibStore/HttpStore.h>
 #include <algorithm>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <map>
+#include <platform/RowStore.h>
 #include <thread>
 
 namespace Comfreysail::Tool {
@@ -47,8 +47,8 @@
 {
     if (!invocation.platform)
         return;
-    m_store = Store::makeHttpStore(m_network->context.get_executor(),
-        { .address = invocation.platform->address, .port = invocation.platform->port });
+    m_store = Platform::makeStorePort(m_network->context.get_executor(),
+        Store::HttpStoreOptions { .address = invocation.platform->address, .port = invocation.platform->port });
 }
 
 ToolContext::~ToolContext() = default;
