Tests: Cover the decisions for registered targets

Bounds are those of the users' settings.

Ruled out: nothing.

Measured: TestLibTraffic passes; the cases were written after the code and were not each seen to fail.

Conclusion: later faults get their case here first.

--- /dev/null
+++ b/Tests/LibTraffic/TestLimits.cpp
@@ -0,0 +1,75 @@
+#include <LibTraffic/Traffic.h>
+#include <catch2/catch.hpp>
+
+using namespace Comfreysail;
+using namespace Comfreysail::Traffic;
+using namespace std::chrono_literals;
+
+namespace {
+
+Core::Instant at(Core::Duration time) { return Core::Instant(time + 1h); }
+
+// From the platform's settings: a service may get repeated sends of a fifth of its requests in 10 s, and 56 more.
+constexpr double allowedRatio = 0.2;
+constexpr double allowedSlack = 56;
+constexpr unsigned daemons = 18; // 14 entry VMs and four spare ones.
+
+}
+
+// All daemons together must stay within the budget of the service although none asks the others, also when everything
+// fails from the first request on.
+TEST_CASE("RetryAllowance_EveryRequestFailsAtAllDaemons_StaysWithinTheBudget")
+{
+    auto const requestsPerDaemon = GENERATE(0, 1, 7, 50, 400);
+    unsigned repeated = 0;
+    for (unsigned daemon = 0; daemon < daemons; ++daemon) {
+        RetryAllowance allowance;
+        for (int request = 0; request < requestsPerDaemon; ++request) {
+            allowance.noteFirstSend("orders");
+            while (allowance.tryTake("orders"))
+                ++repeated;
+        }
+    }
+    CAPTURE(requestsPerDaemon);
+    CHECK(repeated <= allowedRatio * requestsPerDaemon * daemons + allowedSlack);
+}
+
+// Retries that were not needed in a quiet time must not be saved up for a bad one.
+TEST_CASE("RetryAllowance_LongQuietTime_IsNotSavedUp")
+{
+    RetryAllowance allowance;
+    for (int request = 0; request < 10'000; ++request)
+        allowance.noteFirstSend("orders");
+    unsigned repeated = 0;
+    while (allowance.tryTake("orders"))
+        ++repeated;
+    CHECK(repeated * daemons <= allowedSlack);
+}
+
+// A cold target tolerates a few requests a second of all daemons together.
+TEST_CASE("ColdAllowance_AllDaemonsAtOnce_StayWithinTheRate")
+{
+    constexpr double perSecond = 4.8;
+    // The bound is 1.5 times the rate and 5 more in any second.
+    constexpr double allowed = perSecond * 1.5 + 5;
+    std::vector<ColdAllowance> allowances(daemons);
+    std::vector<Core::Duration> sends;
+    for (auto time = 0ms; time < 20s; time += 10ms) {
+        for (size_t daemon = 0; daemon < daemons; ++daemon) {
+            // Daemons come upon the cold target at different times.
+            if (time >= daemon * 150ms && allowances[daemon].tryTake("a", perSecond, daemons, at(time)))
+                sends.push_back(time);
+        }
+    }
+    for (size_t first = 0; first < sends.size(); ++first) {
+        auto const last = std::upper_bound(sends.begin(), sends.end(), sends[first] + Core::Duration(1s));
+        CHECK(static_cast<double>(last - sends.begin()) - static_cast<double>(first) <= allowed);
+    }
+    CHECK(sends.size() >= 15 * perSecond);
+}
+
+TEST_CASE("ColdAllowance_NoRateStated_SendsNothing")
+{
+    ColdAllowance allowance;
+    CHECK_FALSE(allowance.tryTake("a", 0, 1, at(0s)));
+}
--- /dev/null
+++ b/Tests/LibTraffic/TestPlacement.cpp
@@ -0,0 +1,168 @@
+#include <LibTraffic/Traffic.h>
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <list>
+
+using namespace Comfreysail;
+using namespace Comfreysail::Traffic;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Core::Instant now { 1h };
+
+struct PlacementFixture {
+    PlacementOptions options;
+    PlacementRequest request { "z1", false, {}, false, std::nullopt };
+    std::list<TargetRecord> records;
+    std::vector<TargetRecord const*> all;
+
+    TargetRecord& add(std::string const& id, TargetLoad const& load, std::string const& zone = "z1")
+    {
+        auto& record = records.emplace_back();
+        record.target.id = id;
+        record.target.availabilityZone = zone;
+        record.load = load;
+        record.loadMeasuredAt = now;
+        all.push_back(&record);
+        return record;
+    }
+
+    std::string best() const
+    {
+        auto const choice = bestTarget(all, request, options, now);
+        return choice ? choice->target->target.id : "none";
+    }
+};
+
+}
+
+// A slow target with free slots takes longer than a busier one at the usual speed.
+TEST_CASE_METHOD(PlacementFixture, "BestTarget_SlownessAndBusySlots_AreWeighed")
+{
+    add("slow", { 0, 0, 2, 5 });
+    add("busy", { 1, 0, 2, 1 });
+    CHECK(best() == "busy");
+    add("idle", { 0, 0, 2, 1 });
+    CHECK(best() == "idle");
+}
+
+// A target that has no room may never answer, so nothing is sent to it.
+TEST_CASE_METHOD(PlacementFixture, "BestTarget_AllFull_IsNone")
+{
+    add("a", { 2, 0, 2, 1 });
+    add("b", { 2, 3, 2, 1 });
+    CHECK(best() == "none");
+}
+
+// A report does not know of requests that were sent after it; two requests at once must not take the same last slot.
+TEST_CASE_METHOD(PlacementFixture, "BestTarget_OwnSendsSinceTheReport_AreCounted")
+{
+    auto& record = add("a", { 1, 0, 2, 1 });
+    CHECK(best() == "a");
+    record.sentSinceLoad = 1;
+    CHECK(best() == "none");
+}
+
+// Old reports mislead: load shifts within milliseconds.
+TEST_CASE_METHOD(PlacementFixture, "BestTarget_OldReportColdOrExcluded_IsNotUsed")
+{
+    auto& record = add("a", { 0, 0, 2, 1 });
+    record.loadMeasuredAt = now - options.longestReportAge - 1us;
+    CHECK(best() == "none");
+    record.loadMeasuredAt = now;
+    record.coldUntil = now + 1s;
+    CHECK(best() == "none");
+    record.coldUntil = {};
+    CHECK(best() == "a");
+    request.excludedTargets = { "a" };
+    CHECK(best() == "none");
+}
+
+// Under overload, a request that is late anyway must not take the last slot from one that can still end in time.
+TEST_CASE_METHOD(PlacementFixture, "BestTarget_LateRequest_NeedsRoomAtSeveralTargets")
+{
+    add("a", { 0, 0, 2, 1 });
+    add("b", { 0, 0, 2, 1 });
+    add("full", { 2, 0, 2, 1 });
+    request.isLate = true;
+    CHECK(best() == "none");
+    request.isLate = false;
+    CHECK(best() != "none");
+    request.isLate = true;
+    add("c", { 1, 0, 2, 1 });
+    CHECK(best() != "none");
+}
+
+TEST_CASE_METHOD(PlacementFixture, "BestTarget_WaitingAllowed_OnlyUpToItsCost")
+{
+    add("a", { 2, 0, 2, 1 });
+    request.maxCostWithWaiting = 1.5;
+    CHECK(best() == "none");
+    request.maxCostWithWaiting = 2;
+    CHECK(best() == "a");
+    records.front().load->waiting = 2;
+    request.maxCostWithWaiting = 100;
+    CHECK(best() == "none");
+}
+
+// A download that crosses availability zones is expensive, so it crosses only when the own zone is much slower.
+TEST_CASE_METHOD(PlacementFixture, "BestTarget_Download_StaysInItsZone")
+{
+    add("near", { 1, 0, 2, 2 });
+    add("far", { 0, 0, 2, 1 }, "z2");
+    CHECK(best() == "far");
+    request.isDownload = true;
+    CHECK(best() == "near");
+    records.front().load->slowness = 5;
+    CHECK(best() == "far");
+}
+
+TEST_CASE_METHOD(PlacementFixture, "TargetsToAsk_Rounds_AskEachTargetOnce")
+{
+    for (auto const* id : { "a", "b", "c", "d" })
+        add(id, {});
+    request.excludedTargets = { "d" };
+    std::vector<std::string> asked;
+    for (auto const* record : targetsToAsk(all, request, asked, options, 1))
+        asked.push_back(record->target.id);
+    std::ranges::sort(asked);
+    CHECK(asked == std::vector<std::string> { "a", "b", "c" });
+    CHECK(targetsToAsk(all, request, asked, options, 1).empty());
+}
+
+// Without load reports the own counts decide; a cold target gets nothing.
+TEST_CASE_METHOD(PlacementFixture, "LessBusyOfTwo_OwnCounts_Decide")
+{
+    add("a", {}).inFlight = 3;
+    add("b", {}).inFlight = 1;
+    add("cold", {}).coldUntil = now + 1s;
+    for (uint64_t draw = 0; draw < 10; ++draw)
+        CHECK(lessBusyOfTwo(all, request, draw, now)->target.id == "b");
+}
+
+TEST_CASE("WaitingWorth_RequestsEndLate_StopsWaitingAndKeepsTrying")
+{
+    WaitingWorth worth;
+    CHECK(worth.pays(0.5));
+    for (int count = 0; count < 5; ++count)
+        worth.note(false);
+    CHECK_FALSE(worth.pays(0.5));
+    CHECK(worth.pays(0.01));
+    for (int count = 0; count < 20; ++count)
+        worth.note(true);
+    CHECK(worth.pays(0.5));
+}
+
+// Samples at slow targets would teach a usual time that is too long, since the slowness may end during the work.
+TEST_CASE("ServiceTime_SlowSamples_AreLeftOut")
+{
+    ServiceTime time;
+    CHECK(time.costWithin(1s) == 0);
+    for (int count = 0; count < 10; ++count) {
+        time.note(200ms, 2.0);
+        time.note(100ms, 1.0);
+    }
+    CHECK(time.usual() == 100ms);
+    CHECK(time.costWithin(250ms) == Approx(2.5));
+}
