comfreysaild: Pass the store's rows from daemon to daemon

Cause: each daemon read the platform's store for itself.

Ruled out: the heartbeat overlay of LibMembership: 18 KB/s for each daemon at 200 VMs costs more between availability zones than the calls; the feed of the store, which wakes every daemon for each heartbeat of a target.

Change: two daemons, the first by the hash of their names, read the store every 0.85 s. Each other one asks a daemon before it in a tree of fan-out 8; the answer waits until there is a change, and evidence on moves goes with the question. Who gets no fresh rows reads the store itself. Rows never go back: an answer from an older reading is refused. Each daemon uses 24 targets of a service at most, so that connections stay in use.

--- a/Libraries/LibTraffic/Placement.cpp
+++ b/Libraries/LibTraffic/Placement.cpp
@@ -1,5 +1,6 @@
 #include <LibTraffic/Placement.h>
 
+#include <LibCore/Hash.h>
 #include <algorithm>
 #include <random>
 
@@ -55,6 +56,22 @@
     return cost;
 }
 
+std::vector<TargetRecord const*> targetsOfDaemon(
+    std::vector<TargetRecord const*> eligible, std::string_view daemon, PlacementOptions const& options)
+{
+    if (eligible.size() <= options.targetsOfOneDaemon)
+        return eligible;
+    auto const daemonHash = Core::hashBytes(daemon);
+    std::vector<std::pair<uint64_t, TargetRecord const*>> ranked;
+    for (auto const* record : eligible)
+        ranked.emplace_back(Core::combineHashes(daemonHash, Core::hashBytes(record->target.id)), record);
+    std::ranges::sort(ranked, {}, [](auto const& item) { return item.first; });
+    eligible.clear();
+    for (size_t index = 0; index < options.targetsOfOneDaemon; ++index)
+        eligible.push_back(ranked[index].second);
+    return eligible;
+}
+
 std::vector<TargetRecord const*> targetsToAsk(std::vector<TargetRecord const*> const& eligible,
     PlacementRequest const& request, std::vector<std::string> const& asked, PlacementOptions const& options,
     uint64_t draw)
--- a/Libraries/LibTraffic/Placement.h
+++ b/Libraries/LibTraffic/Placement.h
@@ -13,6 +13,8 @@
     /// Targets asked for their load in one round. Three find a fast free slot in most cases at moderate load.
     unsigned targetsAskedPerRound { 3 };
     unsigned maxRounds { 3 };
+    /// Targets of a service that one daemon uses.
+    size_t targetsOfOneDaemon { 24 };
     /// A target that expects to finish within this multiple of the usual time is taken without asking others.
     double goodEnoughCost { 1.7 };
     /// Requests waiting at a target above which it gets no more; targets queue only a few and may never answer
@@ -25,7 +27,7 @@
     /// last free slot to a request that still can: as many are served, and more of them in time.
     unsigned roomForLateRequests { 3 };
     /// How old a load report may be to count as the answer to a question now.
-    Core::Duration longestReportAge { std::chrono::milliseconds(8) };
+    Core::Duration longestReportAge { std::chrono::milliseconds(25) };
 
     bool operator==(PlacementOptions const&) const = default;
 };
@@ -49,6 +51,11 @@
 std::vector<TargetRecord const*> targetsToAsk(std::vector<TargetRecord const*> const& eligible, PlacementRequest const&,
     std::vector<std::string> const& asked, PlacementOptions const&, uint64_t draw);
 
+/// The targets of a service that one daemon uses: all when there are few, otherwise a part that it keeps, so that its
+/// connections to them are used often enough to stay open.
+std::vector<TargetRecord const*> targetsOfDaemon(
+    std::vector<TargetRecord const*> eligible, std::string_view daemon, PlacementOptions const&);
+
 struct Choice {
     TargetRecord const* target { nullptr };
     double cost { 0 };
--- /dev/null
+++ b/Libraries/LibTraffic/RelayTree.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <LibCore/Time.h>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Comfreysail::Traffic {
+
+struct RelayOptions {
+    /// Daemons that read the store for all others. Two, so that the loss of one delays nobody for long.
+    size_t readers { 2 };
+    /// Daemons that ask the same one.
+    size_t fanOut { 8 };
+    /// How long a daemon that did not answer is left out; doubles with each failure.
+    Core::Duration firstAvoidance { std::chrono::seconds(1) };
+    Core::Duration longestAvoidance { std::chrono::seconds(30) };
+
+    bool operator==(RelayOptions const&) const = default;
+};
+
+/// Daemons that a daemon asks for the rows of the store, in the order in which it tries them. Empty for a daemon that
+/// reads the store itself and for one that is not a member yet.
+///
+/// All daemons put the members into the same order by the hash of their names. The first ones read the store, and each
+/// further one asks one before it, so that a change passes through a tree whose depth is logarithmic.
+std::vector<std::string> relaySources(std::string_view self, std::vector<std::string> members, RelayOptions const&);
+
+/// True for the daemons that read the store for the others.
+bool isStoreReader(std::string_view self, std::vector<std::string> members, RelayOptions const&);
+
+/// Remembers which daemons did not answer.
+class RelayAvoidance {
+public:
+    void noteFailed(std::string const& member, RelayOptions const&, Core::Instant now);
+    void noteAnswered(std::string const& member);
+    bool isAvoided(std::string const& member, Core::Instant now) const;
+
+private:
+    struct Entry {
+        unsigned failures { 0 };
+        Core::Instant until {};
+    };
+
+    std::map<std::string, Entry> m_entries;
+};
+
+}
--- a/Libraries/LibTraffic/Traffic.h
+++ b/Libraries/LibTraffic/Traffic.h
@@ -8,9 +8,11 @@
 #include <LibTraffic/MoveJudge.h>
 #include <LibTraffic/Placement.h>
 #include <LibTraffic/RegisteredTarget.h>
+#include <LibTraffic/RelayTree.h>
 #include <LibTraffic/RetryAllowance.h>
 #include <LibTraffic/RouteTable.h>
 #include <LibTraffic/ServiceTime.h>
+#include <LibTraffic/SharedRows.h>
 #include <LibTraffic/TargetDirectory.h>
 #include <LibTraffic/TargetLoad.h>
 #include <LibTraffic/TargetRecord.h>
--- a/Services/comfreysaild/DaemonSettings.cpp
+++ b/Services/comfreysaild/DaemonSettings.cpp
@@ -117,7 +117,7 @@
     if (hasHomes)
         settings.peer = readAddress(root, "peer", 1);
     settings.admin = readAddress(root, "admin");
-    if (auto control = root.table("control", hasHomes ? Presence::Required : Presence::Optional)) {
+    if (auto control = root.table("control", Presence::Required)) {
         settings.control = readAddressOf(*control, 1);
         settings.seeds = control->texts("seeds", Settings::hostPortRule);
         control->refuseOtherKeys();
--- a/Services/comfreysaild/EntryDaemon.cpp
+++ b/Services/comfreysaild/EntryDaemon.cpp
@@ -39,9 +39,14 @@
     , m_context(1)
     , m_pool(m_context, poolOptions(m_settings))
     , m_store(m_context.get_executor(), m_settings.platform->address, m_settings.platform->port)
-    , m_follower(m_context, m_store, m_state, m_settings.vmName)
+    , m_adopter(m_state)
+    , m_reader(m_store, m_state, m_adopter)
+    , m_relay(m_context, m_pool, m_state, m_settings.vmName)
+    , m_moveKeeper(m_context, m_reader, m_relay, m_adopter, m_state, m_settings.vmName)
+    , m_follower(m_context, m_reader, m_relay, m_adopter, m_moveKeeper, m_state, m_settings.vmName,
+          m_settings.control.address + ":" + std::to_string(m_settings.control.port), m_settings.seeds)
     , m_asker(m_context, m_pool, m_state)
-    , m_handler(m_pool, m_asker, m_state, m_settings.availabilityZone)
+    , m_handler(m_pool, m_asker, m_state, m_settings.vmName, m_settings.availabilityZone)
     , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
 {
 }
@@ -65,7 +70,9 @@
         [this](HTTP::ServerExchange& exchange) { return m_handler.handle(exchange); });
     m_adminServer = HTTP::Server::create(m_context, serverOptions(m_settings.admin),
         [this](HTTP::ServerExchange& exchange) { return answerAdmin(exchange); });
-    for (auto const& server : { m_adminServer, m_callerServer }) {
+    m_relayServer = HTTP::Server::create(m_context, serverOptions(m_settings.control),
+        [this](HTTP::ServerExchange& exchange) { return m_relay.answer(exchange); });
+    for (auto const& server : { m_adminServer, m_relayServer, m_callerServer }) {
         if (auto started = server->start(); isError(started))
             return started;
     }
--- a/Services/comfreysaild/EntryDaemon.h
+++ b/Services/comfreysaild/EntryDaemon.h
@@ -34,10 +34,15 @@
     EntryState m_state;
     HTTP::ConnectionPool m_pool;
     Platform::StoreClient m_store;
+    RowAdopter m_adopter;
+    StoreReader m_reader;
+    Relay m_relay;
+    MoveKeeper m_moveKeeper;
     StoreFollower m_follower;
     LoadAsker m_asker;
     EntryHandler m_handler;
     std::shared_ptr<HTTP::Server> m_callerServer;
+    std::shared_ptr<HTTP::Server> m_relayServer;
     std::shared_ptr<HTTP::Server> m_adminServer;
     boost::asio::signal_set m_signals;
 };
--- a/Services/comfreysaild/EntryHandler.cpp
+++ b/Services/comfreysaild/EntryHandler.cpp
@@ -103,10 +103,12 @@
 
 }
 
-EntryHandler::EntryHandler(HTTP::ConnectionPool& pool, LoadAsker& asker, EntryState& state, std::string ownZone)
+EntryHandler::EntryHandler(
+    HTTP::ConnectionPool& pool, LoadAsker& asker, EntryState& state, std::string vmName, std::string ownZone)
     : m_pool(pool)
     , m_asker(asker)
     , m_state(state)
+    , m_vmName(std::move(vmName))
     , m_ownZone(std::move(ownZone))
 {
 }
@@ -300,7 +302,8 @@
 {
     auto const now = Core::monotonicNow();
     auto const version = allowedVersion(m_state, request.service, request.uniform, now);
-    return m_state.directory.eligible(request.service, version, m_state.zonesOut, now);
+    auto eligible = m_state.directory.eligible(request.service, version, m_state.zonesOut, now);
+    return Traffic::targetsOfDaemon(std::move(eligible), m_vmName, {});
 }
 
 awaitable<std::shared_ptr<ClientConnection>> EntryHandler::connect(
--- a/Services/comfreysaild/EntryHandler.h
+++ b/Services/comfreysaild/EntryHandler.h
@@ -12,7 +12,7 @@
 /// Forwards the requests of callers to targets that registered themselves.
 class EntryHandler {
 public:
-    EntryHandler(HTTP::ConnectionPool&, LoadAsker&, EntryState&, std::string ownZone);
+    EntryHandler(HTTP::ConnectionPool&, LoadAsker&, EntryState&, std::string vmName, std::string ownZone);
 
     HTTP::awaitable<void> handle(HTTP::ServerExchange&);
 
@@ -42,6 +42,7 @@
     HTTP::ConnectionPool& m_pool;
     LoadAsker& m_asker;
     EntryState& m_state;
+    std::string m_vmName;
     std::string m_ownZone;
     std::mt19937_64 m_generator { std::random_device {}() };
 };
--- a/Services/comfreysaild/EntryState.cpp
+++ b/Services/comfreysaild/EntryState.cpp
@@ -6,6 +6,16 @@
 
 using Traffic::MoveState;
 
+void endMove(std::string const& service, MoveInProgress& progress, MoveState state)
+{
+    progress.state = state;
+    Telemetry::EventLine("move_ended")
+        .add("service", service)
+        .add("to", progress.move.toVersion)
+        .add("completed", state == MoveState::Completed)
+        .logInfo();
+}
+
 std::optional<std::string> allowedVersion(
     EntryState const& state, std::string_view service, double uniform, Core::Instant now)
 {
--- a/Services/comfreysaild/EntryState.h
+++ b/Services/comfreysaild/EntryState.h
@@ -18,13 +18,16 @@
     uint64_t resultRevision { 0 };       ///< Of the row that tells the operators the state; 0 for none.
     Traffic::VersionEvidence newVersion; ///< Of this daemon.
     Traffic::VersionEvidence oldVersion;
-    Traffic::VersionEvidence newVersionElsewhere; ///< Of the other daemons, as last read.
-    Traffic::VersionEvidence oldVersionElsewhere;
+    Traffic::VersionEvidence newVersionEverywhere; ///< Of all daemons, on a daemon that reads the store.
+    Traffic::VersionEvidence oldVersionEverywhere;
 };
 
 /// What an entry daemon believes, used by its one thread only.
 struct EntryState {
+    Traffic::SharedRows sharedRows;
+    Core::Instant rowsReadAt {}; ///< When the shared rows were read from the store, by this daemon or another one.
     std::shared_ptr<Traffic::TrafficPlan const> plan; ///< nullptr before the first one.
+    uint64_t planRowRevision { 0 };                   ///< Of the store's row that holds the plan.
     std::set<std::string, std::less<>> zonesOut;
     std::map<std::string, MoveInProgress, std::less<>> moves; ///< By service.
     Traffic::TargetDirectory directory;
@@ -41,6 +44,12 @@
     Telemetry::MetricRegistry metrics;
 };
 
+/// Rows that were read longer ago may miss a change that has to be in force by now.
+inline constexpr Core::Duration longestFreshAge = std::chrono::milliseconds(1500);
+
+/// Ends a move; a bad version gets no more requests from here on.
+void endMove(std::string const& service, MoveInProgress&, Traffic::MoveState);
+
 /// The version that a request may use, or nothing when any may be used. `uniform` is a random number in [0, 1).
 std::optional<std::string> allowedVersion(
     EntryState const&, std::string_view service, double uniform, Core::Instant now);
--- /dev/null
+++ b/Services/comfreysaild/MoveKeeper.cpp
@@ -0,0 +1,169 @@
+#include "MoveKeeper.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <random>
+#include <sstream>
+
+namespace Comfreysail::Daemon {
+
+namespace asio = boost::asio;
+using HTTP::awaitable;
+using Platform::StoreRow;
+using Traffic::MoveState;
+using Traffic::VersionEvidence;
+
+namespace {
+
+// Daemons that reach a verdict together wait for a random part of this, so that most of them see the first one's row.
+constexpr int verdictSpreadMilliseconds = 250;
+constexpr unsigned maxResultTries = 3;
+
+std::string evidenceText(uint64_t orderedAt, VersionEvidence const& newVersion, VersionEvidence const& oldVersion)
+{
+    std::string text = std::to_string(orderedAt);
+    for (auto const* evidence : { &newVersion, &oldVersion }) {
+        for (auto const number : { evidence->requests, evidence->failures, evidence->slow })
+            text += " " + std::to_string(number);
+    }
+    return text;
+}
+
+/// The counts of evidenceText() when they belong to this move.
+std::optional<std::pair<VersionEvidence, VersionEvidence>> parseEvidence(std::string const& text, uint64_t orderedAt)
+{
+    std::istringstream stream(text);
+    uint64_t move = 0;
+    std::pair<VersionEvidence, VersionEvidence> evidence;
+    stream >> move;
+    for (auto* side : { &evidence.first, &evidence.second })
+        stream >> side->requests >> side->failures >> side->slow;
+    if (!stream || move != orderedAt)
+        return std::nullopt;
+    return evidence;
+}
+
+}
+
+MoveKeeper::MoveKeeper(asio::io_context& context, StoreReader& reader, Relay& relay, RowAdopter& adopter,
+    EntryState& state, std::string vmName)
+    : m_context(context)
+    , m_reader(reader)
+    , m_relay(relay)
+    , m_adopter(adopter)
+    , m_state(state)
+    , m_vmName(std::move(vmName))
+{
+}
+
+awaitable<void> MoveKeeper::pause(Core::Duration duration)
+{
+    asio::steady_timer timer(m_context, duration);
+    co_await timer.async_wait(HTTP::useTuple);
+}
+
+awaitable<void> MoveKeeper::keepMoves()
+{
+    std::vector<std::string> running;
+    for (auto const& [service, progress] : m_state.moves) {
+        bool const isOpen = progress.state == MoveState::Running || progress.resultRevision <= progress.move.orderedAt;
+        if (isOpen)
+            running.push_back(service);
+    }
+    if (running.empty())
+        co_return;
+    co_await m_reader.readTable(Platform::Table::results);
+    m_adopter.adoptDecisions();
+    m_relay.noteChange();
+    for (auto const& service : running) {
+        co_await exchangeEvidence(service);
+        co_await decide(service);
+    }
+}
+
+awaitable<void> MoveKeeper::exchangeEvidence(std::string service)
+{
+    auto found = m_state.moves.find(service);
+    if (found == m_state.moves.end() || found->second.state != MoveState::Running)
+        co_return;
+    auto const own = m_relay.evidence(Core::monotonicNow())[service];
+    auto const orderedAt = found->second.move.orderedAt;
+    auto text = evidenceText(orderedAt, own.first, own.second);
+    if (m_writtenEvidence[service] != text) {
+        StoreRow row { service, m_vmName, text, 0, std::string(Platform::Table::evidence) };
+        bool const isWritten = co_await m_reader.write(std::move(row), false);
+        if (isWritten)
+            m_writtenEvidence[service] = text;
+    }
+    auto const rows = co_await m_reader.readRows(Platform::Table::evidence, service);
+    found = m_state.moves.find(service);
+    if (found == m_state.moves.end())
+        co_return;
+    auto sum = own;
+    for (auto const& row : rows.value_or(std::vector<StoreRow> {})) {
+        auto const evidence = parseEvidence(row.value, orderedAt);
+        if (evidence && row.key != m_vmName)
+            sum = { sum.first + evidence->first, sum.second + evidence->second };
+    }
+    found->second.newVersionEverywhere = sum.first;
+    found->second.oldVersionEverywhere = sum.second;
+}
+
+awaitable<void> MoveKeeper::decide(std::string service)
+{
+    auto const found = m_state.moves.find(service);
+    if (found == m_state.moves.end())
+        co_return;
+    auto& progress = found->second;
+    if (progress.state != MoveState::Running) {
+        // The verdict is known, but the operators were not told yet.
+        if (progress.resultRevision <= progress.move.orderedAt)
+            co_await writeResult(service, progress.state);
+        co_return;
+    }
+    auto const& newVersion = progress.newVersionEverywhere;
+    if (Traffic::isBad(newVersion, progress.oldVersionEverywhere, {})) {
+        Telemetry::EventLine("move_judged_bad")
+            .add("service", service)
+            .add("to", progress.move.toVersion)
+            .add("requests", newVersion.requests)
+            .add("failures", newVersion.failures)
+            .add("slow", newVersion.slow)
+            .logInfo();
+        // A bad version gets nothing from here on, whether or not the operators can be told now.
+        auto verdicts = m_state.sharedRows.table(verdictTable);
+        verdicts.insert_or_assign(service, std::to_string(progress.move.orderedAt));
+        m_state.sharedRows.replaceTable(verdictTable, std::move(verdicts), 0);
+        m_adopter.adoptDecisions();
+        m_relay.noteChange();
+        co_await writeResult(service, MoveState::RolledBack);
+    } else if (Traffic::isFinished(progress.move, Core::monotonicNow() - progress.firstSeenAt, {})) {
+        co_await writeResult(service, MoveState::Completed);
+    }
+}
+
+awaitable<void> MoveKeeper::writeResult(std::string service, MoveState state)
+{
+    thread_local std::mt19937 generator { std::random_device {}() };
+    std::uniform_int_distribution<int> spread(0, verdictSpreadMilliseconds);
+    for (unsigned tries = 0; tries < maxResultTries; ++tries) {
+        co_await pause(std::chrono::milliseconds(spread(generator)));
+        bool const isRead = co_await m_reader.readTable(Platform::Table::results);
+        m_adopter.adoptDecisions();
+        m_relay.noteChange();
+        auto const found = m_state.moves.find(service);
+        bool const isOpen = isRead && found != m_state.moves.end()
+            && (found->second.state == MoveState::Running || found->second.state == state)
+            && found->second.resultRevision <= found->second.move.orderedAt;
+        if (!isOpen)
+            co_return;
+        auto const& move = found->second.move;
+        StoreRow row;
+        row.table = Platform::Table::results;
+        row.key = std::string(Platform::Key::movePrefix) + service;
+        row.value = Platform::encodeMoveResult({ service, move.toVersion, state, 0 });
+        row.revision = found->second.resultRevision;
+        co_await m_reader.write(std::move(row), true);
+    }
+}
+
+}
--- /dev/null
+++ b/Services/comfreysaild/RowAdopter.cpp
@@ -0,0 +1,164 @@
+#include "RowAdopter.h"
+
+#include <charconv>
+
+namespace Comfreysail::Daemon {
+
+using Platform::StoreRow;
+using Traffic::MoveState;
+
+std::string sharedText(StoreRow const& row) { return std::to_string(row.revision) + "\n" + row.value; }
+
+StoreRow storeRow(std::string const& key, std::string const& sharedText)
+{
+    StoreRow row;
+    row.key = key;
+    std::from_chars(sharedText.data(), sharedText.data() + sharedText.size(), row.revision);
+    row.value = sharedText.substr(std::min(sharedText.find('\n'), sharedText.size() - 1) + 1);
+    return row;
+}
+
+RowAdopter::RowAdopter(EntryState& state)
+    : m_state(state)
+{
+}
+
+bool RowAdopter::isNewlyRefused(std::string const& key, uint64_t revision)
+{
+    // Targets write their rows again and again; one line for each of them is enough.
+    return m_refusedRows.emplace(key, revision).second;
+}
+
+Traffic::SharedRows::Table RowAdopter::sharedTable(std::string_view table, std::vector<StoreRow> const& rows) const
+{
+    Traffic::SharedRows::Table result;
+    auto const& known = m_state.sharedRows.table(table);
+    for (auto const& row : rows) {
+        auto text = sharedText(row);
+        auto const before = known.find(row.key);
+        if (table == Platform::Table::targets && before != known.end()) {
+            auto const knownTarget = Platform::decodeTarget(storeRow(row.key, before->second));
+            auto const target = Platform::decodeTarget(row);
+            bool const isSame = isError(target) ? isError(knownTarget)
+                                                : !isError(knownTarget) && valueOf(target) == valueOf(knownTarget);
+            if (isSame)
+                text = before->second;
+        }
+        result.emplace(row.key, std::move(text));
+    }
+    return result;
+}
+
+void RowAdopter::adoptDecisions()
+{
+    std::set<std::string, std::less<>> zonesOut;
+    std::vector<Traffic::VersionMove> moves;
+    for (auto const& [key, text] : m_state.sharedRows.table(Platform::Table::operators)) {
+        auto const row = storeRow(key, text);
+        if (key == Platform::Key::plan) {
+            adoptPlan(row);
+        } else if (key.starts_with(Platform::Key::zoneOutPrefix)) {
+            zonesOut.insert(key.substr(Platform::Key::zoneOutPrefix.size()));
+        } else if (key.starts_with(Platform::Key::movePrefix)) {
+            auto move = Platform::decodeMove(row);
+            if (!isError(move))
+                moves.push_back(takeValue(std::move(move)));
+            else if (isNewlyRefused(key, row.revision))
+                Telemetry::EventLine("move_refused").add("reason", errorOf(move).detail).logError();
+        }
+    }
+    if (zonesOut != m_state.zonesOut) {
+        std::string names;
+        for (auto const& zone : zonesOut)
+            names += (names.empty() ? "" : ",") + zone;
+        Telemetry::EventLine("zones_out").add("zones", names).logInfo();
+        m_state.zonesOut = std::move(zonesOut);
+    }
+    adoptMoves(moves);
+    adoptResults();
+}
+
+void RowAdopter::adoptPlan(StoreRow const& row)
+{
+    if (m_state.planRowRevision == row.revision)
+        return;
+    auto plan = Platform::decodePlan(row);
+    if (isError(plan)) {
+        if (isNewlyRefused(row.key + "@" + std::to_string(row.revision), row.revision))
+            Telemetry::EventLine("settings_refused").add("reason", errorOf(plan).detail).logError();
+        return;
+    }
+    m_state.planRowRevision = row.revision;
+    auto const revision = valueOf(plan).revision;
+    if (m_state.plan && revision <= m_state.plan->revision) {
+        Telemetry::EventLine("settings_not_newer").add("revision", revision).logWarning();
+        return;
+    }
+    Telemetry::EventLine("settings_adopted")
+        .add("revision", revision)
+        .add("routes", valueOf(plan).routes.size())
+        .logInfo();
+    m_state.plan = std::make_shared<Traffic::TrafficPlan const>(takeValue(std::move(plan)));
+}
+
+void RowAdopter::adoptMoves(std::vector<Traffic::VersionMove> const& moves)
+{
+    std::set<std::string, std::less<>> present;
+    for (auto const& move : moves) {
+        present.insert(move.service);
+        auto const found = m_state.moves.find(move.service);
+        if (found != m_state.moves.end() && found->second.move.orderedAt >= move.orderedAt)
+            continue;
+        MoveInProgress progress;
+        progress.move = move;
+        progress.firstSeenAt = Core::monotonicNow();
+        m_state.moves.insert_or_assign(move.service, std::move(progress));
+        Telemetry::EventLine("move_ordered").add("service", move.service).add("to", move.toVersion).logInfo();
+    }
+    std::erase_if(m_state.moves, [&](auto const& item) { return !present.contains(item.first); });
+}
+
+void RowAdopter::adoptResults()
+{
+    for (auto const& [key, text] : m_state.sharedRows.table(Platform::Table::results)) {
+        auto const row = storeRow(key, text);
+        auto const result = Platform::decodeMoveResult(row);
+        if (isError(result)) {
+            if (isNewlyRefused("result " + key, row.revision))
+                Telemetry::EventLine("move_result_refused").add("reason", errorOf(result).detail).logWarning();
+            continue;
+        }
+        auto const found = m_state.moves.find(valueOf(result).service);
+        if (found == m_state.moves.end())
+            continue;
+        auto& progress = found->second;
+        progress.resultRevision = std::max(progress.resultRevision, row.revision);
+        bool const isAboutThisOrder
+            = valueOf(result).toVersion == progress.move.toVersion && row.revision > progress.move.orderedAt;
+        if (isAboutThisOrder && progress.state == MoveState::Running && valueOf(result).state != MoveState::Running)
+            endMove(found->first, progress, valueOf(result).state);
+    }
+    for (auto const& [service, orderedAt] : m_state.sharedRows.table(verdictTable)) {
+        auto const found = m_state.moves.find(service);
+        bool const isAboutThisOrder
+            = found != m_state.moves.end() && std::to_string(found->second.move.orderedAt) == orderedAt;
+        if (isAboutThisOrder && found->second.state == MoveState::Running)
+            endMove(service, found->second, MoveState::RolledBack);
+    }
+}
+
+void RowAdopter::adoptTargets(Core::Instant now)
+{
+    std::vector<Traffic::RegisteredTarget> targets;
+    for (auto const& [key, text] : m_state.sharedRows.table(Platform::Table::targets)) {
+        auto target = Platform::decodeTarget(storeRow(key, text));
+        if (!isError(target))
+            targets.push_back(takeValue(std::move(target)));
+        else if (isNewlyRefused("target " + key, 0))
+            Telemetry::EventLine("target_refused").add("reason", errorOf(target).detail).logWarning();
+    }
+    m_state.directory.replaceAll(targets, now);
+    m_state.hasReadTargets = true;
+}
+
+}
--- a/Services/comfreysaild/StoreFollower.h
+++ b/Services/comfreysaild/StoreFollower.h
@@ -1,47 +1,47 @@
 #pragma once
 
-#include "EntryState.h"
+#include "MoveKeeper.h"
+#include "Relay.h"
+#include "StoreReader.h"
 #include <LibHTTP/Asio.h>
-#include <boost/asio/io_context.hpp>
-#include <platform/Platform.h>
 
 namespace Comfreysail::Daemon {
 
-/// Keeps the entry state up to date from the platform's store: the operators' settings, the targets, and the moves
-/// between versions with their results.
+/// Keeps the entry state up to date. A few daemons read the platform's store; the others ask one of these or one that
+/// asks them, and read the store themselves only when nobody has fresh rows.
 class StoreFollower {
 public:
-    StoreFollower(boost::asio::io_context&, Platform::StoreClient&, EntryState&, std::string vmName);
+    StoreFollower(boost::asio::io_context&, StoreReader&, Relay&, RowAdopter&, MoveKeeper&, EntryState&,
+        std::string vmName, std::string ownEndpoint, std::vector<std::string> seeds);
 
     void start();
 
 private:
-    HTTP::awaitable<void> followOperators();
-    HTTP::awaitable<void> followTargets();
-    HTTP::awaitable<void> followMoves();
+    HTTP::awaitable<void> follow();
+    HTTP::awaitable<bool> askOthers();
+    HTTP::awaitable<bool> askOne(std::string member, std::string endpoint);
+    HTTP::awaitable<bool> readStore();
+    HTTP::awaitable<void> registerSelf();
     HTTP::awaitable<void> pause(Core::Duration);
-    HTTP::awaitable<std::optional<std::vector<Platform::StoreRow>>> readTable(
-        std::string_view table, std::string_view part);
-
-    void adoptOperatorRows(std::vector<Platform::StoreRow> const&);
-    void adoptPlan(Platform::StoreRow const&);
-    void adoptMoves(std::vector<Traffic::VersionMove> const&);
-    void adoptTargets(std::vector<Platform::StoreRow> const&);
-    HTTP::awaitable<void> exchangeEvidence(std::string service);
-    HTTP::awaitable<void> readResults();
-    HTTP::awaitable<void> decide(std::string service);
-    HTTP::awaitable<void> writeResult(std::string service, Traffic::MoveState);
-    void noteStore(std::string_view table, bool isReachable, std::string_view reason);
+    void adoptRows();
+    std::vector<std::string> members() const;
 
     boost::asio::io_context& m_context;
-    Platform::StoreClient& m_client;
+    StoreReader& m_reader;
+    Relay& m_relay;
+    RowAdopter& m_adopter;
+    MoveKeeper& m_moveKeeper;
     EntryState& m_state;
     std::string m_vmName;
-    std::map<std::string, bool, std::less<>> m_isReachable;        ///< By table.
-    std::map<std::string, uint64_t, std::less<>> m_newestRevision; ///< By table and part; older answers are dropped.
-    std::map<std::string, uint64_t, std::less<>>
-        m_refusedRows; ///< Rows that cannot be read, logged once for a revision.
-    std::map<std::string, std::string, std::less<>> m_writtenEvidence; ///< By service.
+    std::string m_ownEndpoint; ///< "address:port" at which other daemons ask this one.
+    std::vector<std::string> m_seeds;
+    Traffic::RelayAvoidance m_avoidance;
+    Core::Instant m_startedAt {};
+    Core::Instant m_membersReadAt {};
+    Core::Instant m_registeredAt {};
+    Core::Instant m_storeTriedAt {};
+    Core::Duration m_storeRetry {};
+    uint64_t m_adoptedVersion { 0 };
 };
 
 }
--- a/Tests/LibTraffic/TestRouteTable.cpp
+++ b/Tests/LibTraffic/TestRouteTable.cpp
@@ -11,9 +11,9 @@
 
     RouteTableFixture()
     {
-        for (auto const& [name, host, prefix] : std::vector<std::array<std::string, 3>> {
-                 { "root", "a.example", "/" }, { "pay", "a.example", "/pay/" }, { "card", "a.example", "/pay/card/" },
-                 { "other", "b.example", "/pay/" } }) {
+        for (auto const& [name, host, prefix] :
+            std::vector<std::array<std::string, 3>> { { "root", "a.example", "/" }, { "pay", "a.example", "/pay/" },
+                { "card", "a.example", "/pay/card/" }, { "other", "b.example", "/pay/" } }) {
             RequestRoute route;
             route.name = name;
             route.host = host;
