--- a/Services/comfreysaild/EntryHandler.cpp
+++ b/Services/comfreysaild/EntryHandler.cpp
@@ -325,6 +325,7 @@
 {
     HTTP::Endpoint const endpoint { target.address, target.port };
     ++request.sends;
+    request.lastTarget = target.id;
     // The question for its load was answered on this connection a moment ago, so the target still reads from it.
     auto const policy = request.isIdempotent() ? HTTP::ReusePolicy::Any : HTTP::ReusePolicy::RecentlyUsed;
     auto connection = m_pool.take(endpoint, policy, Core::monotonicNow());
@@ -430,6 +431,13 @@
             .add("latency_ms", std::chrono::duration_cast<std::chrono::milliseconds>(latency).count())
             .logInfo();
     }
+    if (head.endsWithConnection) {
+        Telemetry::EventLine("answer_without_length")
+            .add("request_id", request.requestId)
+            .add("target", request.lastTarget)
+            .add("bytes", request.responseBody.size())
+            .logInfo();
+    }
     if (!request.streaming) {
         bool const hasBody = exchange.head().method != "HEAD" && !HTTP::statusForbidsBody(head.status);
         head.chunked = false;
--- a/Services/comfreysaild/EntryRequest.h
+++ b/Services/comfreysaild/EntryRequest.h
@@ -32,6 +32,7 @@
     double uniform { 0 }; ///< Drawn once, so that a repeated send stays on its version.
 
     unsigned sends { 0 };
+    std::string lastTarget;
     bool mayHaveRun { false }; ///< A target may have run the request.
     std::vector<std::string> triedTargets;
     Core::Instant sentAt {};
