comfreysaild: Ask seeds at once after a restart, and end within the grace time

A process was still there at the end of the grace time.

Ruled out: reading the store at once everywhere, which costs three calls for each daemon.

Change: without rows nobody is left out, a try takes 250 ms at most, and the store is read after 300 ms.

--- a/Services/comfreysaild/DaemonSettings.cpp
+++ b/Services/comfreysaild/DaemonSettings.cpp
@@ -2,6 +2,8 @@
 
 #include <LibSettings/Settings.h>
 #include <array>
+#include <charconv>
+#include <cmath>
 #include <filesystem>
 #include <set>
 
@@ -20,6 +22,18 @@
 
 Settings::TextRule const pathRule { isAnyText, "a path" };
 
+constexpr double microsecondsPerSecond = 1e6;
+constexpr double longestGrace = 86'400;
+
+bool isSeconds(std::string_view text)
+{
+    double value = 0;
+    auto const [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    return error == std::errc() && end == text.data() + text.size() && value > 0 && value <= longestGrace;
+}
+
+Settings::TextRule const secondsRule { isSeconds, "a number of seconds above 0, as a text" };
+
 // Port 0 lets the system choose, and the daemon logs the port that it got. Other daemons must know the peer and control
 // ports, so these cannot be 0.
 ListenAddress readAddressOf(CheckedTable& table, int64_t minimumPort)
@@ -106,6 +120,8 @@
         root.integerOr("worker_threads", IntegerRange { 1, 256, "threads" }, settings.workerThreads));
     settings.balancerLag = std::chrono::milliseconds(
         root.integerOr("balancer_lag_ms", IntegerRange { 0, 10 * minute, "ms" }, settings.balancerLag.count() / 1000));
+    if (auto const grace = root.text("grace_seconds", secondsRule))
+        settings.grace = Core::Duration(std::llround(std::stod(*grace) * microsecondsPerSecond));
     settings.settingsFile = root.text("settings_file", pathRule);
     if (settings.settingsFile)
         settings.settingsFile = (std::filesystem::path(path).parent_path() / *settings.settingsFile).string();
--- a/Services/comfreysaild/DaemonSettings.h
+++ b/Services/comfreysaild/DaemonSettings.h
@@ -43,6 +43,8 @@
     PlacementMode placement { PlacementMode::Home };
     unsigned workerThreads { 4 };
     Core::Duration balancerLag { std::chrono::seconds(2) };
+    /// Time from SIGTERM to the end of the process; the platform ends it by force then. No limit without it.
+    std::optional<Core::Duration> grace;
     std::optional<std::string> settingsFile; ///< Absolute, or relative to the working directory.
     ListenAddress caller;
     ListenAddress peer;
--- a/Services/comfreysaild/EntryDaemon.cpp
+++ b/Services/comfreysaild/EntryDaemon.cpp
@@ -23,6 +23,10 @@
 // A request that is being received when the last running one ends still gets its answer.
 constexpr auto lastRequestsGrace = 100ms;
 
+constexpr auto longestShutdown = std::chrono::hours(24);
+// Left of the grace time for the last steps.
+constexpr auto exitReserve = 250ms;
+
 HTTP::PoolOptions poolOptions(DaemonSettings const& settings)
 {
     HTTP::PoolOptions options;
@@ -170,17 +174,19 @@
 awaitable<void> EntryDaemon::shutDown()
 {
     // Callers arrive until the platform's balancer has noticed; from now on each response ends its connection.
+    auto const until = Core::monotonicNow() + m_settings.grace.value_or(longestShutdown) - exitReserve;
     m_callerServer->closeAfterResponses();
     co_await pause(m_settings.balancerLag);
     m_callerServer->stopAccepting();
     m_callerServer->closeIdleConnections();
-    while (m_state.activeRequests > 0)
+    auto const mayWait = [this, until] { return m_state.activeRequests > 0 && Core::monotonicNow() < until; };
+    while (mayWait())
         co_await pause(shutdownPollInterval);
     co_await pause(lastRequestsGrace);
     m_callerServer->closeIdleConnections();
-    while (m_state.activeRequests > 0)
+    while (mayWait())
         co_await pause(shutdownPollInterval);
-    Telemetry::EventLine("shutdown_finished").logInfo();
+    Telemetry::EventLine("shutdown_finished").add("active_requests", m_state.activeRequests).logInfo();
     m_context.stop();
 }
 
--- a/Services/comfreysaild/Relay.cpp
+++ b/Services/comfreysaild/Relay.cpp
@@ -22,6 +22,7 @@
 // leaves time to ask another one within the 2 s in which changes have to be in force.
 constexpr auto longestWait = 600ms;
 constexpr auto answerTimeout = 900ms;
+constexpr auto timeoutWithoutWait = 250ms;
 // A daemon that has not asked for this long asks another one now, which counts its evidence.
 constexpr auto followerTimeout = 3s;
 
@@ -101,7 +102,8 @@
     return text;
 }
 
-awaitable<std::optional<std::string>> Relay::exchange(HTTP::Endpoint endpoint, std::string target)
+awaitable<std::optional<std::string>> Relay::exchange(
+    HTTP::Endpoint endpoint, std::string target, Core::Duration timeout)
 {
     auto connection = m_pool.take(endpoint, HTTP::ReusePolicy::Any, Core::monotonicNow());
     bool const isNew = !connection;
@@ -109,7 +111,7 @@
         connection = m_pool.create(endpoint);
     auto const executor = co_await asio::this_coro::executor;
     auto const watchdog = HTTP::Watchdog::create(executor);
-    watchdog->arm(Core::monotonicNow() + answerTimeout, [&connection] { connection->close(); });
+    watchdog->arm(Core::monotonicNow() + timeout, [&connection] { connection->close(); });
     Core::Result<Core::Empty> ready = Core::Empty {};
     if (isNew)
         ready = co_await connection->connect();
@@ -152,7 +154,7 @@
     auto target = "/rows?name=" + encoded(m_vmName) + "&incarnation=" + encoded(known.incarnation)
         + "&after=" + std::to_string(known.version) + "&wait_ms=" + std::to_string(wait)
         + "&evidence=" + encoded(evidenceText(now));
-    auto const body = co_await exchange(endpoint, std::move(target));
+    auto const body = co_await exchange(endpoint, std::move(target), canWait ? answerTimeout : timeoutWithoutWait);
     auto const result = body ? adopt(member, *body) : RelayAnswer::Failed;
     co_return result;
 }
--- a/Services/comfreysaild/StoreFollower.cpp
+++ b/Services/comfreysaild/StoreFollower.cpp
@@ -20,8 +20,10 @@
 constexpr auto membersInterval = 2s;
 constexpr auto registrationInterval = 3s;
 constexpr auto pauseAfterFailure = 100ms;
-// Daemons that start together with their seeds let these read the store first.
-constexpr auto seedLead = 1s;
+// Daemons that start together with their seeds let these read the store first. Each tenth of a second without rows
+// refuses requests, so it is short.
+constexpr auto seedLead = 300ms;
+constexpr auto startPause = 30ms;
 // A store that does not answer is not asked by all daemons again and again.
 constexpr auto shortestStoreRetry = 500ms;
 constexpr auto longestStoreRetry = 2s;
@@ -118,7 +120,7 @@
             }
         }
         if (!isFresh)
-            co_await pause(pauseAfterFailure);
+            co_await pause(m_state.plan ? pauseAfterFailure : startPause);
         co_await registerSelf();
     }
 }
@@ -136,7 +138,7 @@
         }
     }
     for (auto const& [name, endpoint] : sources) {
-        if (m_avoidance.isAvoided(name, Core::monotonicNow()))
+        if (m_state.plan && m_avoidance.isAvoided(name, Core::monotonicNow()))
             continue;
         bool const isFresh = co_await askOne(name, endpoint);
         if (isFresh)
