comfreysaild: Never deliver an answer that was given up

Cause: after a truncated answer (and after 421, shed and unsigned ones) the response stayed in the request. When no other target could take the request it was delivered, a truncated one with a length that made it look whole. Also: a route without a latency target counted as late from its first request on, and late requests of a service with fewer than three targets were refused for good.

Change: only a delivered or failed answer of the target's own stays. Late requests need as many targets with room as there are, up to three; a route without a latency target has no late requests.

--- a/Libraries/LibTraffic/Placement.cpp
+++ b/Libraries/LibTraffic/Placement.cpp
@@ -105,7 +105,8 @@
         if (cost && (!best || *cost < best->cost))
             best = Choice { record, *cost, busyRequests(*record) >= record->load->slots };
     }
-    if (request.isLate && withRoom < options.roomForLateRequests)
+    auto const roomForLate = std::min<size_t>(options.roomForLateRequests, candidates.size());
+    if (request.isLate && withRoom < roomForLate)
         return std::nullopt;
     return best;
 }
--- a/Libraries/LibTraffic/Placement.h
+++ b/Libraries/LibTraffic/Placement.h
@@ -23,7 +23,8 @@
     /// Cost that a large response across availability zones adds, since traffic between zones is expensive.
     double crossZoneDownloadCost { 3.0 };
     double crossZoneCost { 0.05 };
-    /// Targets with room that a request needs to see when it can no longer end within its latency target. It leaves the
+    /// Targets with room that a request needs to see when it can no longer end within its latency target; all targets
+    /// where there are fewer. It leaves the
     /// last free slot to a request that still can: as many are served, and more of them in time.
     unsigned roomForLateRequests { 3 };
     /// How old a load report may be to count as the answer to a question now.
--- a/Services/comfreysaild/EntryHandler.cpp
+++ b/Services/comfreysaild/EntryHandler.cpp
@@ -201,13 +201,15 @@
         }
         if (verdict == AnswerVerdict::Deliver)
             break;
+        // Only a whole response of the target's own may reach the caller when no other target can take the request.
+        if (verdict != AnswerVerdict::Failed)
+            request.response.reset();
         request.triedTargets.push_back(target.id);
         bool const hasNotRun = verdict == AnswerVerdict::NotRun || verdict == AnswerVerdict::OtherTarget;
         last = { hasNotRun ? ErrorKind::TargetShedRequest : ErrorKind::ConnectionLost, {} };
         if (!maySendAgain(request, verdict, Core::monotonicNow())) {
             if (verdict == AnswerVerdict::Failed)
                 break;
-            request.response.reset();
             co_await refuse(request, last);
             co_return;
         }
@@ -255,7 +257,9 @@
     auto const found = m_state.serviceTimes.find(request.route->name);
     auto const waited = request.waitedBefore + (Core::monotonicNow() - request.arrivedAt);
     auto const usual = found == m_state.serviceTimes.end() ? Core::Duration {} : found->second.usual();
-    placement.isLate = waited + usual > request.route->latencyTarget;
+    // Without a latency target there is no time within which the response has to be there.
+    bool const hasLatencyTarget = request.route->latencyTarget.count() > 0;
+    placement.isLate = hasLatencyTarget && waited + usual > request.route->latencyTarget;
     bool const mayWait = m_state.waitingWorth[request.route->name].pays(request.uniform);
     if (found != m_state.serviceTimes.end() && mayWait) {
         placement.maxCostWithWaiting = found->second.costWithin(request.route->latencyTarget - waited);
--- a/Tests/LibTraffic/TestPlacement.cpp
+++ b/Tests/LibTraffic/TestPlacement.cpp
@@ -94,6 +94,14 @@
     CHECK(best() != "none");
 }
 
+// A service may have fewer targets than that; its late requests were refused for good.
+TEST_CASE_METHOD(PlacementFixture, "BestTarget_LateRequestOfAServiceWithOneTarget_IsServed")
+{
+    add("a", { 0, 0, 2, 1 });
+    request.isLate = true;
+    CHECK(best() == "a");
+}
+
 TEST_CASE_METHOD(PlacementFixture, "BestTarget_WaitingAllowed_OnlyUpToItsCost")
 {
     add("a", { 2, 0, 2, 1 });
--- a/Tests/Support/DaemonProcess.cpp
+++ b/Tests/Support/DaemonProcess.cpp
@@ -60,11 +60,17 @@
 std::string settingsText(DaemonOptions const& options, uint16_t controlPort)
 {
     std::string text = "vm_name = \"" + options.vmName + "\"\navailability_zone = \"" + options.availabilityZone
-        + "\"\nsettings_file = \"tree.toml\"\n"
-          "balancer_lag_ms = "
-        + std::to_string(options.balancerLagMilliseconds) + "\n";
-    std::vector<std::pair<std::string, uint16_t>> const listeners { { "caller", 0 }, { "peer", freePort() },
-        { "admin", 0 }, { "control", controlPort } };
+        + "\"\n"
+        + (options.platformPort ? "placement = \"ask_targets\"\ngrace_seconds = \"6\"\n"
+                                : "settings_file = \"tree.toml\"\n")
+        + "balancer_lag_ms = " + std::to_string(options.balancerLagMilliseconds) + "\n";
+    std::vector<std::pair<std::string, uint16_t>> listeners { { "caller", 0 }, { "admin", 0 } };
+    if (options.platformPort)
+        listeners.emplace_back("platform", *options.platformPort);
+    else
+        listeners.emplace_back("peer", freePort());
+    // The seeds follow the control port in its table.
+    listeners.emplace_back("control", controlPort);
     for (auto const& [listener, port] : listeners)
         text += "[" + listener + "]\naddress = \"127.0.0.1\"\nport = " + std::to_string(port) + "\n";
     text += "seeds = [";
@@ -116,9 +122,10 @@
         std::this_thread::sleep_for(pollInterval);
     }
     m_callerPort = portFromLog("caller_port=");
-    m_peerPort = portFromLog("peer_port=");
+    if (!options.platformPort)
+        m_peerPort = portFromLog("peer_port=");
     m_adminPort = portFromLog("admin_port=");
-    while (admin("/ready").status() != 200) {
+    while (options.waitsUntilReady && admin("/ready").status() != 200) {
         if (std::chrono::steady_clock::now() > deadline)
             throw std::runtime_error("comfreysaild is not ready: " + log());
         std::this_thread::sleep_for(pollInterval);
--- a/Tests/Support/DaemonProcess.h
+++ b/Tests/Support/DaemonProcess.h
@@ -3,6 +3,7 @@
 #include "RawConnection.h"
 #include "ScriptedTarget.h"
 #include <filesystem>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -24,6 +25,9 @@
     std::string vmName { "entry-1" };
     std::string availabilityZone { "pos-hall" };
     std::vector<uint16_t> seedPorts; ///< Control ports of other daemons.
+    /// Port of the platform. The daemon then serves targets that register themselves, and has no settings tree.
+    std::optional<uint16_t> platformPort;
+    bool waitsUntilReady { true };
 };
 
 /// The real comfreysaild with one service, "orders.test", whose routes are GET / (lookup), GET /files (download) and
@@ -45,6 +49,7 @@
     RawResponse call(std::string const& request) const;
     RawResponse admin(std::string const& path) const;
     size_t residentKilobytes() const;
+    std::string log() const;
 
     void terminate() const;
     void kill();
@@ -53,7 +58,6 @@
 
 private:
     uint16_t portFromLog(std::string const& key) const;
-    std::string log() const;
 
     std::filesystem::path m_folder;
     int m_process { -1 };
--- /dev/null
+++ b/Tests/comfreysaild/TestEntryAnswers.cpp
@@ -0,0 +1,250 @@
+#include "EntryFixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Comfreysail::Tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::string fieldsOf(std::string const& head)
+{
+    auto const id = requestIdOf(head);
+    return "X-Comfreysail-Request-Id: " + id + "\r\nX-Comfreysail-Backend-Signature: s." + id + "\r\n";
+}
+
+bool answerWhole(RawConnection& connection, std::string const& head)
+{
+    connection.send(signedResponse(head, "whole"));
+    return true;
+}
+
+bool answerTruncated(RawConnection& connection, std::string const& head)
+{
+    connection.send("HTTP/1.1 200 OK\r\n" + fieldsOf(head) + "Content-Length: 100\r\n\r\nshort");
+    return false;
+}
+
+struct AnswerCase {
+    std::string name;
+    ScriptedTarget::Script script;
+    unsigned readStatus;       ///< For a request that may be repeated, with no other target.
+    unsigned payStatus;        ///< For one that may run once, with no other target.
+    unsigned payElsewhere;     ///< For one that may run once, with another target that works.
+    unsigned payRunsElsewhere; ///< Runs at the other target.
+};
+
+ScriptedTarget::Script sending(std::function<std::string(std::string const&)> text, bool keepOpen = true)
+{
+    return [=](RawConnection& connection, std::string const& head) {
+        connection.send(text(head));
+        return keepOpen;
+    };
+}
+
+std::vector<AnswerCase> answerCases()
+{
+    return {
+        { "whole", answerWhole, 200, 200, 200, 0 },
+        // Seen on the users' bench: after a truncated answer no other target could take the request, and the
+        // truncated answer was delivered with a length that made it look whole.
+        { "truncated", answerTruncated, 502, 502, 502, 0 },
+        { "reset without an answer",
+            [](RawConnection& connection, std::string const&) {
+                connection.reset();
+                return false;
+            },
+            502, 502, 502, 0 },
+        { "no signature", sending([](std::string const& head) {
+             return wholeResponse("x", "X-Comfreysail-Request-Id: " + requestIdOf(head) + "\r\n");
+         }),
+            502, 502, 502, 0 },
+        { "encoded", sending([](std::string const& head) {
+             return wholeResponse("x", fieldsOf(head) + "Content-Encoding: gzip\r\n");
+         }),
+            502, 502, 502, 0 },
+        { "not HTTP", sending([](std::string const&) { return "hello\r\n\r\n"; }, false), 502, 502, 502, 0 },
+        { "shed", sending([](std::string const&) {
+             return wholeResponse("", "X-Comfreysail-Not-Executed: 1\r\n", "503 Service Unavailable");
+         }),
+            503, 503, 200, 1 },
+        { "other target at the address", sending([](std::string const&) {
+             return wholeResponse("", "X-Comfreysail-Instance-Id: other\r\n", "421 Misdirected Request");
+         }),
+            503, 503, 200, 1 },
+        { "unavailable without saying that it did not run",
+            sending([](std::string const& head) { return signedResponse(head, "", "503 Service Unavailable"); }), 502,
+            502, 502, 0 },
+        { "failed", sending([](std::string const& head) { return signedResponse(head, "e", "500 Error"); }), 500, 500,
+            500, 0 },
+        { "extra answer of another request first", sending([](std::string const& head) {
+             return signedResponse("X-Comfreysail-Request-Id: other\r\n", "foreign") + signedResponse(head, "whole");
+         }),
+            200, 200, 200, 0 },
+    };
+}
+
+}
+
+// A wrong answer loses a request, doubles it, or gives a caller what is not the answer to its request.
+TEST_CASE_METHOD(EntryFixture, "Entry_EachAnswerOfTheOnlyTarget_ReachesTheCallerAsItMust")
+{
+    auto const cases = answerCases();
+    auto const example = cases[GENERATE(range(0, 11))];
+    CAPTURE(example.name);
+    auto& target = addTarget("t1", example.script);
+    startDaemon();
+    auto const read = call("GET", "/read/1");
+    CHECK(read.status() == example.readStatus);
+    CHECK(read.isComplete);
+    if (example.readStatus == 200)
+        CHECK(read.body == "whole");
+    if (example.readStatus == 503)
+        CHECK(!read.field("Retry-After").empty());
+    target.runs = 0;
+    std::this_thread::sleep_for(400ms); // The target is left out for 300 ms after a fault.
+    CHECK(call("POST", "/pay/1", "paper=1").status() == example.payStatus);
+    CHECK(target.runs <= 1);
+}
+
+TEST_CASE_METHOD(EntryFixture, "Entry_OrderAtAFaultyTarget_RunsAtMostOnce")
+{
+    auto const cases = answerCases();
+    auto const example = cases[GENERATE(range(0, 11))];
+    CAPTURE(example.name);
+    auto& faulty = addTarget("t1", example.script);
+    auto& other = addTarget("t2", answerWhole);
+    other.load = "1,0,2,150"; // The faulty one is chosen first.
+    startDaemon();
+    CHECK(call("POST", "/pay/1", "paper=1").status() == example.payElsewhere);
+    CHECK(faulty.runs == 1);
+    CHECK(other.runs == example.payRunsElsewhere);
+}
+
+TEST_CASE_METHOD(EntryFixture, "Entry_LookupAtAFaultyTarget_IsAnsweredByAnother")
+{
+    auto& faulty = addTarget("t1", answerTruncated);
+    auto& other = addTarget("t2", answerWhole);
+    other.load = "1,0,2,150";
+    startDaemon();
+    auto const response = call("GET", "/read/1");
+    CHECK(response.status() == 200);
+    CHECK(response.body == "whole");
+    CHECK(faulty.runs == 1);
+    CHECK(other.runs == 1);
+}
+
+// Such an answer ends with its connection. Delivered with a length, a truncated one would look whole.
+TEST_CASE_METHOD(EntryFixture, "Entry_AnswerWithoutLength_IsDeliveredWithoutLength")
+{
+    addTarget("t1", [](RawConnection& connection, std::string const& head) {
+        connection.send("HTTP/1.1 200 OK\r\n" + fieldsOf(head) + "\r\nall of it");
+        return false;
+    });
+    startDaemon();
+    auto connection = daemon().connect();
+    connection.send(requestText("GET", "/read/1", "a1"));
+    auto const head = connection.readUntil("\r\n\r\n");
+    CHECK_THAT(head, Catch::Matchers::StartsWith("HTTP/1.1 200"));
+    CHECK_THAT(head, !Catch::Matchers::Contains("Content-Length"));
+    CHECK(connection.readUntil("\r\n\r\n") == "all of it");
+}
+
+TEST_CASE_METHOD(EntryFixture, "Entry_AnswerWithoutLengthThatIsReset_IsNotDelivered")
+{
+    addTarget("t1", [](RawConnection& connection, std::string const& head) {
+        connection.send("HTTP/1.1 200 OK\r\n" + fieldsOf(head) + "\r\nhalf of it");
+        std::this_thread::sleep_for(50ms);
+        connection.reset();
+        return false;
+    });
+    startDaemon();
+    CHECK(call("GET", "/read/1").status() == 502);
+}
+
+// Targets that are full may never answer, so nothing may be sent to them.
+TEST_CASE_METHOD(EntryFixture, "Entry_AllTargetsFull_RefusesAtOnceAndSaysWhenToReturn")
+{
+    auto& target = addTarget("t1", answerWhole);
+    target.load = "2,4,2,100";
+    startDaemon();
+    auto const begin = std::chrono::steady_clock::now();
+    auto const response = call("POST", "/pay/1", "paper=1");
+    CHECK(response.status() == 503);
+    CHECK(std::stod(response.field("Retry-After")) > 0);
+    CHECK(std::chrono::steady_clock::now() - begin < 300ms);
+    CHECK(target.runs == 0);
+}
+
+// The operators' limit for a route holds also when the target does not answer.
+TEST_CASE_METHOD(EntryFixture, "Entry_SilentTarget_IsAnsweredAtTheRoutesTimeout")
+{
+    addTarget("t1", [](RawConnection& connection, std::string const&) {
+        connection.waitForEnd(5s);
+        return false;
+    });
+    startDaemon();
+    auto const begin = std::chrono::steady_clock::now();
+    CHECK(call("POST", "/pay/1", "paper=1").status() == 504);
+    auto const used = std::chrono::steady_clock::now() - begin;
+    CHECK(used >= 900ms);
+    CHECK(used < 1500ms);
+}
+
+// A target must not work on for a caller that left; with pipelined bytes behind, the end of the stream is hidden.
+TEST_CASE_METHOD(EntryFixture, "Entry_CallerLeaves_FreesTheTargetWithinHalfASecond")
+{
+    auto const pipelines = GENERATE(false, true);
+    CAPTURE(pipelines);
+    std::atomic<bool> hasEnded { false };
+    auto& target = addTarget("t1", [&](RawConnection& connection, std::string const&) {
+        hasEnded = connection.waitForEnd(700ms);
+        return false;
+    });
+    startDaemon();
+    {
+        auto connection = daemon().connect();
+        connection.send(requestText("GET", "/read/1", "a1"));
+        if (pipelines)
+            connection.send(requestText("GET", "/read/2", "a2"));
+        REQUIRE(eventually([&] { return target.runs == 1; }));
+    }
+    CHECK(eventually([&] { return hasEnded.load(); }, 600ms));
+    CHECK(target.runs == 1);
+}
+
+TEST_CASE_METHOD(EntryFixture, "Entry_PipelinedRequests_AreAnsweredInOrder")
+{
+    addTarget("t1", [](RawConnection& connection, std::string const& head) {
+        connection.send(signedResponse(head, requestIdOf(head)));
+        return true;
+    });
+    startDaemon();
+    auto connection = daemon().connect();
+    for (auto const* id : { "a1", "a2", "a3" })
+        connection.send(requestText("GET", "/read/1", id));
+    for (auto const* id : { "a1", "a2", "a3" })
+        CHECK(connection.readResponse().body == id);
+}
+
+// The target receives what is left of the caller's time, its own id, and the request as it was.
+TEST_CASE_METHOD(EntryFixture, "Entry_Request_ReachesTheTargetUnchanged")
+{
+    auto& target = addTarget("t1", answerWhole);
+    startDaemon();
+    auto connection = daemon().connect();
+    connection.send("POST /pay/x?q=%20a HTTP/1.1\r\nHost: orders.test\r\nX-Comfreysail-Request-Id: a1\r\n"
+                    "X-Comfreysail-Deadline-Ms: 700\r\nX-Other: kept\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    "3\r\nabc\r\n0\r\n\r\n");
+    CHECK(connection.readResponse().status() == 200);
+    auto const head = target.server->heads().back();
+    CHECK_THAT(head, Catch::Matchers::StartsWith("POST /pay/x?q=%20a HTTP/1.1\r\n"));
+    CHECK_THAT(head, Catch::Matchers::Contains("X-Other: kept\r\n"));
+    CHECK_THAT(head, Catch::Matchers::Contains("X-Comfreysail-Request-Id: a1\r\n"));
+    CHECK_THAT(head, Catch::Matchers::Contains("X-Comfreysail-Expect-Instance: t1\r\n"));
+    CHECK_THAT(head, Catch::Matchers::Contains("Content-Length: 3\r\n"));
+    auto const deadline = head.find("X-Comfreysail-Deadline-Ms: ") + 27;
+    auto const left = std::stoi(head.substr(deadline));
+    CHECK(left <= 700);
+    CHECK(left > 400);
+}
--- /dev/null
+++ b/Tests/comfreysaild/TestEntryBeliefs.cpp
@@ -0,0 +1,133 @@
+#include "EntryFixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Comfreysail::Tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+bool answerWhole(RawConnection& connection, std::string const& head)
+{
+    connection.send(signedResponse(head, "whole"));
+    return true;
+}
+
+}
+
+TEST_CASE_METHOD(EntryFixture, "Entry_UnknownRoute_IsNotFoundAndAnAddedOneIsServedWithinTwoSeconds")
+{
+    addTarget("t1", answerWhole);
+    startDaemon();
+    CHECK(call("GET", "/new/1").status() == 404);
+    writePlan(
+        5, R"(,{"name":"new","host":"orders.test","prefix":"/new/","kind":"safe","timeout-s":1,"service":"orders"})");
+    CHECK(eventually([&] { return call("GET", "/new/1").status() == 200; }, 2s));
+}
+
+// A daemon that knows no settings yet must not deny what it does not know.
+TEST_CASE_METHOD(EntryFixture, "Entry_WithoutSettings_AnswersUnavailableAndIsNotReady")
+{
+    setFaults(R"({"mode":"busy"})");
+    DaemonOptions options;
+    options.waitsUntilReady = false;
+    startDaemon(options);
+    CHECK(call("GET", "/read/1").status() == 503);
+    CHECK(daemon().admin("/ready").status() == 503);
+    addTarget("t1", answerWhole);
+    setFaults(R"({"mode":"up"})");
+    CHECK(eventually([&] { return daemon().admin("/ready").status() == 200; }));
+}
+
+// An operators' row that cannot be read, or one that is older, must leave the settings in force.
+TEST_CASE_METHOD(EntryFixture, "Entry_FaultyOrOlderSettings_LeaveTheOnesInForce")
+{
+    addTarget("t1", answerWhole);
+    writePlan(7);
+    startDaemon();
+    auto const row = GENERATE(std::string("{"), std::string(R"({"version":8,"routes":{}})"),
+        std::string(R"({"version":6,"routes":[],"services":[]})"));
+    writeOperatorRow("config", row);
+    std::this_thread::sleep_for(1500ms);
+    CHECK(call("GET", "/read/1").status() == 200);
+}
+
+TEST_CASE_METHOD(EntryFixture, "Entry_TargetDrainsLeavesOrItsZoneGoesOut_GetsNothingAfterTwoSeconds")
+{
+    auto& target = addTarget("t1", answerWhole);
+    startDaemon();
+    CHECK(call("GET", "/read/1").status() == 200);
+    SECTION("draining") { registerTarget(target, "draining"); }
+    SECTION("gone") { removeTarget("t1"); }
+    SECTION("zone out") { writeOperatorRow("evacuate/pos-hall", "{}"); }
+    std::this_thread::sleep_for(1900ms);
+    target.runs = 0;
+    CHECK(call("GET", "/read/1").status() == 503);
+    CHECK(target.runs == 0);
+}
+
+TEST_CASE_METHOD(EntryFixture, "Entry_ZoneIsTakenBack_ServesAgain")
+{
+    addTarget("t1", answerWhole);
+    writeOperatorRow("evacuate/pos-hall", "{}");
+    startDaemon();
+    CHECK(call("GET", "/read/1").status() == 503);
+    removeOperatorRow("evacuate/pos-hall");
+    CHECK(eventually([&] { return call("GET", "/read/1").status() == 200; }, 2s));
+}
+
+TEST_CASE_METHOD(EntryFixture, "Entry_StoreIsDown_ServesOnWithWhatItKnows")
+{
+    auto const mode = GENERATE(std::string("down"), std::string("hang"), std::string("busy"), std::string("too_many"));
+    CAPTURE(mode);
+    addTarget("t1", answerWhole);
+    startDaemon();
+    setFaults(R"({"mode":")" + mode + "\"}");
+    std::this_thread::sleep_for(3s);
+    CHECK(call("GET", "/read/1").status() == 200);
+    CHECK(daemon().admin("/ready").status() == 200);
+}
+
+// A store may turn some VMs away and serve the others; these learn from the others what is in force.
+TEST_CASE_METHOD(EntryFixture, "Entry_DaemonThatTheStoreTurnsAway_IsToldByAnother")
+{
+    addTarget("t1", answerWhole);
+    auto& first = startDaemon();
+    DaemonOptions options;
+    options.vmName = "entry-2";
+    options.platformPort = 9; // Nothing listens there.
+    options.seedPorts = { first.controlPort() };
+    auto& second = startDaemon(options);
+    writePlan(
+        5, R"(,{"name":"new","host":"orders.test","prefix":"/new/","kind":"safe","timeout-s":1,"service":"orders"})");
+    CHECK(eventually(
+        [&] {
+            auto connection = second.connect();
+            connection.send(requestText("GET", "/new/1", "a1"));
+            return connection.readResponse().status() == 200;
+        },
+        2s));
+}
+
+TEST_CASE_METHOD(EntryFixture, "Entry_SigtermWithARunningRequest_AnswersItAndEnds")
+{
+    addTarget("t1", [](RawConnection& connection, std::string const& head) {
+        std::this_thread::sleep_for(500ms);
+        connection.send(signedResponse(head, "whole"));
+        return true;
+    });
+    DaemonOptions options;
+    options.balancerLagMilliseconds = 1000;
+    startDaemon(options);
+    auto running = daemon().connect();
+    running.send(requestText("POST", "/pay/1", "a1", "paper=1"));
+    std::this_thread::sleep_for(150ms);
+    daemon().terminate();
+    CHECK(eventually([&] { return daemon().admin("/ready").status() == 503; }, 300ms));
+    // Callers that the platform's balancer still sends are served, and their connections closed.
+    auto const late = call("GET", "/read/1");
+    CHECK(late.status() == 200);
+    CHECK(late.field("Connection") == "close");
+    CHECK(running.readResponse().body == "whole");
+    CHECK(daemon().waitForExit(5s) == 0);
+}
