comfreysaild: Contain requests that crash targets, and use cold targets when there are no others

Cause: the mode for registered targets sent a request that crashes its targets to one target after the other, at any VM, and refused every request of a service whose targets were all cold.

Ruled out: telling crashes through the relay only, which would not reach the other reader's part of the tree.

Change: a connection lost before an answer is followed by a question to the target; without an answer the crash is noted and written to the table comfreysail-crashes, which the readers pass on. A fingerprint that crashed three target instances is refused. A cold target gets 0.6 of its rate from all daemons together, each with a random phase.

--- a/Libraries/LibTraffic/ColdAllowance.cpp
+++ b/Libraries/LibTraffic/ColdAllowance.cpp
@@ -9,21 +9,26 @@
 // Old entries are dropped when there are more than this; targets that warmed up are not asked for again.
 constexpr size_t maxEntries = 1024;
 constexpr double microsecondsPerSecond = 1e6;
+// The daemons' sends fall together by chance; the rest of the rate leaves room for that.
+constexpr double usedPart = 0.6;
 
 }
 
-bool ColdAllowance::tryTake(std::string_view target, double requestsPerSecond, unsigned daemons, Core::Instant now)
+bool ColdAllowance::tryTake(
+    std::string_view target, double requestsPerSecond, unsigned daemons, double phase, Core::Instant now)
 {
     if (requestsPerSecond <= 0)
         return false;
     if (m_nextAllowed.size() > maxEntries)
         std::erase_if(m_nextAllowed, [now](auto const& item) { return item.second < now; });
-    auto const found = m_nextAllowed.find(target);
-    if (found != m_nextAllowed.end() && now < found->second)
+    auto const rate = requestsPerSecond * usedPart;
+    auto const interval = microsecondsPerSecond * std::max(daemons, 1U) / rate;
+    auto const after
+        = [now](double microseconds) { return now + Core::Duration(static_cast<Core::Duration::rep>(microseconds)); };
+    auto const [entry, isNew] = m_nextAllowed.try_emplace(std::string(target), after(interval * phase));
+    if (now < entry->second)
         return false;
-    auto const interval = Core::Duration(
-        static_cast<Core::Duration::rep>(microsecondsPerSecond * std::max(daemons, 1U) / requestsPerSecond));
-    m_nextAllowed[std::string(target)] = now + interval;
+    entry->second = after(interval);
     return true;
 }
 
--- a/Services/comfreysaild/EntryDaemon.h
+++ b/Services/comfreysaild/EntryDaemon.h
@@ -23,6 +23,8 @@
     HTTP::ServerOptions serverOptions(ListenAddress const&) const;
     HTTP::awaitable<void> answerAdmin(HTTP::ServerExchange&);
     HTTP::awaitable<void> sweepLoop();
+    /// Tells the other daemons, through the store, that the target instance crashed while it ran the request.
+    HTTP::awaitable<void> reportCrash(uint64_t fingerprint, std::string targetInstance);
     HTTP::awaitable<void> waitForSignals();
     HTTP::awaitable<void> shutDown();
     HTTP::awaitable<void> pause(Core::Duration);
--- a/Services/comfreysaild/EntryHandler.cpp
+++ b/Services/comfreysaild/EntryHandler.cpp
@@ -2,6 +2,8 @@
 
 #include "EntryRequest.h"
 #include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <charconv>
 #include <platform/Platform.h>
 
@@ -31,6 +33,10 @@
 constexpr auto shortestUsefulTime = 20ms;
 constexpr auto defaultTimeout = 30s;
 constexpr unsigned maxForeignResponses = 3;
+// A target that crashes closes its connections before its port.
+constexpr auto crashDelay = 30ms;
+// VMs that were added and are not in the list of members yet, at most.
+constexpr unsigned daemonsNotYetMembers = 4;
 // Callers that were refused come back within this span, spread so that they do not come together.
 constexpr double shortestReturnSeconds = 0.1;
 constexpr double longestReturnSeconds = 0.4;
@@ -103,13 +109,14 @@
 
 }
 
-EntryHandler::EntryHandler(
-    HTTP::ConnectionPool& pool, LoadAsker& asker, EntryState& state, std::string vmName, std::string ownZone)
+EntryHandler::EntryHandler(HTTP::ConnectionPool& pool, LoadAsker& asker, EntryState& state, std::string vmName,
+    std::string ownZone, ReportCrash reportCrash)
     : m_pool(pool)
     , m_asker(asker)
     , m_state(state)
     , m_vmName(std::move(vmName))
     , m_ownZone(std::move(ownZone))
+    , m_reportCrash(std::move(reportCrash))
 {
 }
 
@@ -168,6 +175,9 @@
         if (valueOf(size) == 0)
             break;
     }
+    request.fingerprint = Retry::fingerprintOf({ request.service, head.method, head.target, *request.body });
+    if (m_state.quarantine.isRefused(request.fingerprint, request.arrivedAt))
+        co_return Error { ErrorKind::RequestQuarantined, {} };
     exchange.watchCaller([&request] { request.stopSignal.stop(ErrorKind::CallerGone); });
     co_return Empty {};
 }
@@ -190,6 +200,13 @@
         auto const target = valueOf(selected);
         request.response.reset();
         auto const verdict = co_await sendOnce(request, target);
+        if (request.wasConnectionLost && !request.stopSignal.reason()) {
+            auto const& healthPath = request.plan->services.find(request.service)->second.healthPath;
+            HTTP::asio::co_spawn(
+                request.exchange.strand(), confirmCrash(request.fingerprint, target, healthPath), HTTP::asio::detached);
+        }
+        if (verdict == AnswerVerdict::Deliver)
+            m_state.quarantine.noteAnswered(request.fingerprint, Core::monotonicNow());
         noteEvidence(request, target, verdict);
         noteFault(request, target, verdict);
         if (request.stopSignal.reason()) {
@@ -245,9 +262,51 @@
         co_return Error { ErrorKind::NoTargetAvailable, {} };
     }
     auto selected = co_await askAndChoose(request, service->second.healthPath, placement);
+    if (isError(selected) && !request.stopSignal.reason()) {
+        if (auto const cold = coldTarget(request))
+            co_return *cold;
+    }
     co_return selected;
 }
 
+std::optional<RegisteredTarget> EntryHandler::coldTarget(EntryRequest const& request)
+{
+    auto const now = Core::monotonicNow();
+    auto const eligible = eligibleTargets(request);
+    bool const areAllCold
+        = std::ranges::all_of(eligible, [now](auto const* record) { return now < record->coldUntil; });
+    if (!areAllCold)
+        return std::nullopt;
+    auto const service = request.plan->services.find(request.service);
+    auto const members = m_state.sharedRows.table(Platform::Table::members).size();
+    for (auto const* record : eligible) {
+        auto const& id = record->target.id;
+        bool const wasTried = std::ranges::find(request.triedTargets, id) != request.triedTargets.end();
+        if (!wasTried
+            && m_state.coldSends.tryTake(id, service->second.coldRequestsPerSecond,
+                static_cast<unsigned>(members) + daemonsNotYetMembers, uniform(), now))
+            return record->target;
+    }
+    return std::nullopt;
+}
+
+awaitable<void> EntryHandler::confirmCrash(uint64_t fingerprint, RegisteredTarget target, std::string healthPath)
+{
+    auto const executor = co_await HTTP::asio::this_coro::executor;
+    HTTP::asio::steady_timer timer(executor, crashDelay);
+    co_await timer.async_wait(HTTP::useTuple);
+    auto const isAlive = co_await m_asker.answers(target, std::move(healthPath));
+    if (isAlive)
+        co_return;
+    auto const instance = target.id + "@" + std::to_string(target.startedAt);
+    Telemetry::EventLine("target_crashed_with_request")
+        .add("target", instance)
+        .add("fingerprint", Core::toHex(fingerprint))
+        .logWarning();
+    m_state.quarantine.noteCrash({ fingerprint, instance }, Core::monotonicNow());
+    m_reportCrash(fingerprint, instance);
+}
+
 Traffic::PlacementRequest EntryHandler::placementOf(EntryRequest const& request)
 {
     Traffic::PlacementRequest placement;
@@ -329,6 +388,7 @@
 {
     HTTP::Endpoint const endpoint { target.address, target.port };
     ++request.sends;
+    request.wasConnectionLost = false;
     request.lastTarget = target.id;
     // The question for its load was answered on this connection a moment ago, so the target still reads from it.
     auto const policy = request.isIdempotent() ? HTTP::ReusePolicy::Any : HTTP::ReusePolicy::RecentlyUsed;
@@ -365,6 +425,7 @@
     for (unsigned foreign = 0; foreign < maxForeignResponses; ++foreign) {
         auto head = co_await connection->readHead(request.exchange.head().method);
         if (isError(head)) {
+            request.wasConnectionLost = errorOf(head).kind == ErrorKind::ConnectionLost;
             m_pool.discard(connection, request.stopSignal.reason() == ErrorKind::DeadlineExceeded);
             co_return AnswerVerdict::Invalid;
         }
--- a/Services/comfreysaild/EntryHandler.h
+++ b/Services/comfreysaild/EntryHandler.h
@@ -12,7 +12,9 @@
 /// Forwards the requests of callers to targets that registered themselves.
 class EntryHandler {
 public:
-    EntryHandler(HTTP::ConnectionPool&, LoadAsker&, EntryState&, std::string vmName, std::string ownZone);
+    using ReportCrash = std::function<void(uint64_t fingerprint, std::string targetInstance)>;
+
+    EntryHandler(HTTP::ConnectionPool&, LoadAsker&, EntryState&, std::string vmName, std::string ownZone, ReportCrash);
 
     HTTP::awaitable<void> handle(HTTP::ServerExchange&);
 
@@ -37,6 +39,9 @@
     bool maySendAgain(EntryRequest&, Traffic::AnswerVerdict, Core::Instant now);
     void noteEvidence(EntryRequest const&, Traffic::RegisteredTarget const&, Traffic::AnswerVerdict);
     void noteFault(EntryRequest const&, Traffic::RegisteredTarget const&, Traffic::AnswerVerdict);
+    /// A connection that is lost while a request runs may mean that the request crashed its target.
+    HTTP::awaitable<void> confirmCrash(uint64_t fingerprint, Traffic::RegisteredTarget, std::string healthPath);
+    std::optional<Traffic::RegisteredTarget> coldTarget(EntryRequest const&);
     double uniform();
 
     HTTP::ConnectionPool& m_pool;
@@ -44,6 +49,7 @@
     EntryState& m_state;
     std::string m_vmName;
     std::string m_ownZone;
+    ReportCrash m_reportCrash;
     std::mt19937_64 m_generator { std::random_device {}() };
 };
 
--- a/Services/comfreysaild/EntryRequest.h
+++ b/Services/comfreysaild/EntryRequest.h
@@ -26,6 +26,7 @@
     Traffic::RequestRoute const* route { nullptr };
     std::string service;
     std::string requestId;
+    uint64_t fingerprint { 0 };
     Core::Instant deadline {};
     Core::Duration waitedBefore {}; ///< That the caller waited before this request, in earlier tries.
     std::shared_ptr<std::string> body { std::make_shared<std::string>() };
@@ -33,7 +34,8 @@
 
     unsigned sends { 0 };
     std::string lastTarget;
-    bool mayHaveRun { false }; ///< A target may have run the request.
+    bool wasConnectionLost { false }; ///< At the last send, before a response.
+    bool mayHaveRun { false };        ///< A target may have run the request.
     std::vector<std::string> triedTargets;
     Core::Instant sentAt {};
     bool waitsAtTarget { false }; ///< The last send went to a target without a free slot.
--- a/Services/comfreysaild/EntryState.h
+++ b/Services/comfreysaild/EntryState.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibRetry/Retry.h>
 #include <LibTelemetry/Telemetry.h>
 #include <LibTraffic/Traffic.h>
 #include <map>
@@ -39,6 +40,8 @@
     std::map<std::string, Traffic::ServiceTime, std::less<>> serviceTimes;  ///< By route.
     std::map<std::string, Traffic::WaitingWorth, std::less<>> waitingWorth; ///< By route.
     std::set<std::string, std::less<>> servicesWithoutLoad;                 ///< Their targets do not tell their load.
+    Retry::Quarantine quarantine { { .crashesUntilRefused = 3 } };
+    uint64_t newestCrashRow { 0 }; ///< Revision of the newest crash that was adopted.
     unsigned activeRequests { 0 };
     bool isShuttingDown { false };
     Telemetry::MetricRegistry metrics;
--- a/Services/comfreysaild/LoadAsker.cpp
+++ b/Services/comfreysaild/LoadAsker.cpp
@@ -75,6 +75,13 @@
         round->timer.cancel();
 }
 
+awaitable<bool> LoadAsker::answers(Traffic::RegisteredTarget target, std::string healthPath)
+{
+    auto const connection = m_pool.create({ target.address, target.port });
+    auto const isAnswered = co_await exchange(connection, target, healthPath, Core::monotonicNow() + answerTimeout);
+    co_return isAnswered;
+}
+
 awaitable<bool> LoadAsker::exchange(std::shared_ptr<HTTP::ClientConnection> const& connection,
     Traffic::RegisteredTarget const& target, std::string const& healthPath, Instant deadline)
 {
--- a/Services/comfreysaild/LoadAsker.h
+++ b/Services/comfreysaild/LoadAsker.h
@@ -17,6 +17,9 @@
     HTTP::awaitable<void> ask(std::vector<std::string> const& targets, std::string healthPath,
         Core::Duration longestWait, std::function<bool()> isSatisfied);
 
+    /// Whether the target answers a question now.
+    HTTP::awaitable<bool> answers(Traffic::RegisteredTarget, std::string healthPath);
+
 private:
     struct Round;
 
--- a/Services/comfreysaild/RowAdopter.cpp
+++ b/Services/comfreysaild/RowAdopter.cpp
@@ -76,6 +76,25 @@
     }
     adoptMoves(moves);
     adoptResults();
+    adoptCrashes();
+}
+
+void RowAdopter::adoptCrashes()
+{
+    auto newest = m_state.newestCrashRow;
+    for (auto const& [key, text] : m_state.sharedRows.table(Platform::Table::crashes)) {
+        auto const row = storeRow(key, text);
+        // A crash counts once, also when the request was answered and forgotten since.
+        if (row.revision <= m_state.newestCrashRow)
+            continue;
+        newest = std::max(newest, row.revision);
+        uint64_t fingerprint = 0;
+        auto const dash = key.find('-');
+        auto const [end, error] = std::from_chars(key.data(), key.data() + std::min(dash, key.size()), fingerprint, 16);
+        if (dash != std::string::npos && error == std::errc())
+            m_state.quarantine.noteCrash({ fingerprint, key.substr(dash + 1) }, Core::monotonicNow());
+    }
+    m_state.newestCrashRow = newest;
 }
 
 void RowAdopter::adoptPlan(StoreRow const& row)
--- a/Services/comfreysaild/RowAdopter.h
+++ b/Services/comfreysaild/RowAdopter.h
@@ -31,6 +31,7 @@
     void adoptPlan(Platform::StoreRow const&);
     void adoptMoves(std::vector<Traffic::VersionMove> const&);
     void adoptResults();
+    void adoptCrashes();
     bool isNewlyRefused(std::string const& key, uint64_t revision);
 
     EntryState& m_state;
--- a/Services/comfreysaild/StoreFollower.cpp
+++ b/Services/comfreysaild/StoreFollower.cpp
@@ -176,6 +176,7 @@
     if (startedAt - m_membersReadAt >= membersInterval || m_membersReadAt == Instant {}) {
         m_membersReadAt = startedAt;
         co_await m_reader.readTable(Platform::Table::members);
+        co_await m_reader.readTable(Platform::Table::crashes);
     }
     m_state.rowsReadAt = startedAt;
     adoptRows();
--- a/Tests/comfreysaild/EntryFixture.cpp
+++ b/Tests/comfreysaild/EntryFixture.cpp
@@ -24,6 +24,8 @@
     , script(std::move(script))
 {
     server = std::make_unique<ScriptedTarget>([this](RawConnection& connection, std::string const& head) {
+        if (head.starts_with("GET /health ") && isDown)
+            return false;
         if (head.starts_with("GET /health ")) {
             connection.send(wholeResponse(
                 "", "X-Comfreysail-Instance-Id: " + this->id + "\r\nX-Comfreysail-Backend-Load: " + load + "\r\n"));
--- a/Tests/comfreysaild/EntryFixture.h
+++ b/Tests/comfreysaild/EntryFixture.h
@@ -15,8 +15,8 @@
 
     std::string id;
     std::string load { "0,0,2,100" };
-    std::atomic<unsigned> runs { 0 }; ///< Requests other than questions for the load.
-    std::atomic<bool> sawEnd { false };
+    std::atomic<unsigned> runs { 0 };   ///< Requests other than questions for the load.
+    std::atomic<bool> isDown { false }; ///< Answers no questions for its load.
     ScriptedTarget::Script script;
     std::unique_ptr<ScriptedTarget> server;
 };
--- a/Tests/comfreysaild/TestEntryBeliefs.cpp
+++ b/Tests/comfreysaild/TestEntryBeliefs.cpp
@@ -109,6 +109,49 @@
         2s));
 }
 
+// One request that crashes each target that runs it would take one after the other, as its caller repeats it at any VM.
+TEST_CASE_METHOD(EntryFixture, "Entry_RequestThatCrashesTargets_IsRefusedByAllDaemonsAfterThree")
+{
+    std::vector<EntryTarget*> targets;
+    for (auto const* id : { "t1", "t2", "t3", "t4", "t5", "t6" }) {
+        targets.push_back(&addTarget(id, [&targets, id](RawConnection& connection, std::string const& head) {
+            if (head.starts_with("GET /read/fine ")) {
+                connection.send(signedResponse(head, "whole"));
+                return true;
+            }
+            for (auto* const target : targets)
+                target->isDown = target->isDown || target->id == id;
+            connection.reset();
+            return false;
+        }));
+    }
+    auto const runs = [&] {
+        unsigned sum = 0;
+        for (auto const* target : targets)
+            sum += target->runs;
+        return sum;
+    };
+    startDaemon();
+    DaemonOptions options;
+    options.vmName = "entry-2";
+    auto& second = startDaemon(options);
+    for (int count = 0; count < 3 && runs() < 3; ++count) {
+        call("GET", "/read/poison");
+        std::this_thread::sleep_for(400ms);
+    }
+    CHECK(runs() >= 3);
+    for (auto* const target : targets)
+        target->isDown = false;
+    std::this_thread::sleep_for(3s);
+    auto const before = runs();
+    CHECK(call("GET", "/read/poison").status() == 503);
+    auto connection = second.connect();
+    connection.send(requestText("GET", "/read/poison", "b1"));
+    CHECK(connection.readResponse().status() == 503);
+    CHECK(runs() == before);
+    CHECK(call("GET", "/read/fine").status() == 200);
+}
+
 TEST_CASE_METHOD(EntryFixture, "Entry_SigtermWithARunningRequest_AnswersItAndEnds")
 {
     addTarget("t1", [](RawConnection& connection, std::string const& head) {
