comfreysail: Explain one request from the logs of several daemons

Cause: on-call engineers have only logs; the daemon wrote one line for a failed request, without what decided it.

Change: one line for each step of a request (arrived, target chosen, send ended, answered or refused) with the inputs, and 'comfreysail explain ID LOG...' that prints them in order of time with what the daemon believed.

Ruled out: a thread that writes the log: a VM has one core, and the queue would have to be bounded all the same.

--- a/Libraries/LibTelemetry/EventLine.cpp
+++ b/Libraries/LibTelemetry/EventLine.cpp
@@ -1,8 +1,13 @@
 #include <LibTelemetry/EventLine.h>
+#include <LibTelemetry/LogGate.h>
 #include <algorithm>
 #include <array>
 #include <cstdio>
 #include <glog/logging.h>
+#include <mutex>
+#include <poll.h>
+#include <unistd.h>
+#include <utility>
 
 namespace Comfreysail::Telemetry {
 
@@ -31,9 +36,29 @@
     text += escaped.data();
 }
 
+std::mutex gateMutex; ///< Innermost. Guards the gate and the count of lost lines.
+uint64_t linesLostToReader { 0 };
+
+LogGate& gate()
+{
+    static LogGate theGate;
+    return theGate;
+}
+
+/// A pipe that can take a write says so; a full one would block the thread that writes.
+bool isReaderBehind()
+{
+    pollfd descriptor { STDERR_FILENO, POLLOUT, 0 };
+    return ::poll(&descriptor, 1, 0) == 0;
+}
+
 }
 
-EventLine::EventLine(std::string_view event) { add("event", event); }
+EventLine::EventLine(std::string_view event)
+    : m_event(event)
+{
+    add("event", event);
+}
 
 EventLine& EventLine::add(std::string_view key, std::string_view value)
 {
@@ -59,11 +84,52 @@
     return add(key, std::string_view(digits.data()));
 }
 
-void EventLine::logInfo() const { LOG(INFO) << m_text; }
+bool EventLine::mayLog() const
+{
+    std::lock_guard const lock(gateMutex);
+    if (!gate().admits(m_event, m_text, Core::monotonicNow()))
+        return false;
+    if (isReaderBehind()) {
+        ++linesLostToReader;
+        return false;
+    }
+    return true;
+}
 
-void EventLine::logWarning() const { LOG(WARNING) << m_text; }
+void EventLine::logInfo() const
+{
+    if (mayLog())
+        LOG(INFO) << m_text;
+}
+
+void EventLine::logWarning() const
+{
+    if (mayLog())
+        LOG(WARNING) << m_text;
+}
 
-void EventLine::logError() const { LOG(ERROR) << m_text; }
+void EventLine::logError() const
+{
+    if (mayLog())
+        LOG(ERROR) << m_text;
+}
+
+void logHeldLines()
+{
+    std::vector<HeldLines> held;
+    uint64_t lost = 0;
+    {
+        std::lock_guard const lock(gateMutex);
+        if (isReaderBehind())
+            return;
+        held = gate().takeHeld(Core::monotonicNow());
+        lost = std::exchange(linesLostToReader, 0);
+    }
+    for (auto const& lines : held)
+        EventLine("lines_held").add("of", lines.event).add("count", lines.count).add("last", lines.last).logInfo();
+    if (lost > 0)
+        EventLine("lines_lost").add("count", lost).add("reason", "the reader of the log was behind").logWarning();
+}
 
 void startLogging(char const* programName)
 {
--- a/Libraries/LibTelemetry/EventLine.h
+++ b/Libraries/LibTelemetry/EventLine.h
@@ -24,15 +24,22 @@
 
     std::string const& text() const { return m_text; }
 
-    /// Writes the line through glog.
+    /// Writes the line through glog. Lines of one event beyond a rate are counted and summed up in a line of their own,
+    /// and nothing is written while the reader of the log is behind, so that logging never delays a request.
     void logInfo() const;
     void logWarning() const;
     void logError() const;
 
 private:
+    bool mayLog() const;
+
+    std::string m_event;
     std::string m_text;
 };
 
+/// Writes the summaries of lines that were held back. To be called about once a second.
+void logHeldLines();
+
 /// Prepares glog for a daemon: log lines go to standard error, since the VMs have no disks.
 void startLogging(char const* programName);
 
--- a/Libraries/LibTelemetry/Telemetry.h
+++ b/Libraries/LibTelemetry/Telemetry.h
@@ -3,5 +3,7 @@
 /// Public header of LibTelemetry: counters, gauges, latency histograms, their Prometheus text, and event log lines.
 
 #include <LibTelemetry/EventLine.h>
+#include <LibTelemetry/EventText.h>
 #include <LibTelemetry/LatencyHistogram.h>
+#include <LibTelemetry/LogGate.h>
 #include <LibTelemetry/MetricRegistry.h>
--- a/Services/comfreysaild/EntryDaemon.cpp
+++ b/Services/comfreysaild/EntryDaemon.cpp
@@ -18,7 +18,7 @@
 
 // Targets close idle connections after ten seconds or more; one that is closed earlier is noticed when it is used.
 constexpr auto maxIdleTime = 8s;
-constexpr auto sweepInterval = 2s;
+constexpr auto sweepInterval = 1s;
 constexpr auto shutdownPollInterval = 20ms;
 // A request that is being received when the last running one ends still gets its answer.
 constexpr auto lastRequestsGrace = 100ms;
@@ -126,6 +126,7 @@
     while (true) {
         co_await pause(sweepInterval);
         m_pool.closeExpired(Core::monotonicNow());
+        Telemetry::logHeldLines();
     }
 }
 
--- a/Services/comfreysaild/EntryHandler.cpp
+++ b/Services/comfreysaild/EntryHandler.cpp
@@ -51,6 +51,50 @@
     return std::min<Core::Duration>(std::chrono::milliseconds(milliseconds), 24h);
 }
 
+int64_t milliseconds(Core::Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+std::string_view verdictName(AnswerVerdict verdict)
+{
+    switch (verdict) {
+    case AnswerVerdict::Deliver:
+        return "deliver";
+    case AnswerVerdict::NotRun:
+        return "not_run";
+    case AnswerVerdict::OtherTarget:
+        return "other_target";
+    case AnswerVerdict::Failed:
+        return "failed";
+    case AnswerVerdict::Foreign:
+        return "foreign";
+    case AnswerVerdict::Invalid:
+        break;
+    }
+    return "invalid";
+}
+
+void logChoice(EntryRequest const& request, Traffic::PlacementRequest const& placement, Traffic::Choice const& choice,
+    size_t asked)
+{
+    auto const& load = *choice.target->load;
+    Telemetry::EventLine("target_chosen")
+        .add("request_id", request.requestId)
+        .add("target", choice.target->target.id)
+        .add("availability_zone", choice.target->target.availabilityZone)
+        .add("version", choice.target->target.version)
+        .add("cost", choice.cost)
+        .add("running", load.running)
+        .add("waiting", load.waiting)
+        .add("slots", load.slots)
+        .add("slowness", load.slowness)
+        .add("sent_since_report", choice.target->sentSinceLoad)
+        .add("asked", asked)
+        .add("late", placement.isLate)
+        .logInfo();
+}
+
 HTTP::RequestHead headForTarget(EntryRequest const& request, RegisteredTarget const& target, Instant now)
 {
     auto const& names = Platform::headerNames();
@@ -178,6 +222,15 @@
     request.fingerprint = Retry::fingerprintOf({ request.service, head.method, head.target, *request.body });
     if (m_state.quarantine.isRefused(request.fingerprint, request.arrivedAt))
         co_return Error { ErrorKind::RequestQuarantined, {} };
+    Telemetry::EventLine("request_arrived")
+        .add("request_id", request.requestId)
+        .add("route", request.route->name)
+        .add("service", request.service)
+        .add("left_ms", milliseconds(left))
+        .add("waited_before_ms", milliseconds(request.waitedBefore))
+        .add("revision", request.plan->revision)
+        .add("rows_age_ms", milliseconds(request.arrivedAt - m_state.rowsReadAt))
+        .logInfo();
     exchange.watchCaller([&request] { request.stopSignal.stop(ErrorKind::CallerGone); });
     co_return Empty {};
 }
@@ -200,6 +253,14 @@
         auto const target = valueOf(selected);
         request.response.reset();
         auto const verdict = co_await sendOnce(request, target);
+        Telemetry::EventLine("send_ended")
+            .add("request_id", request.requestId)
+            .add("target", target.id)
+            .add("verdict", verdictName(verdict))
+            .add("status", request.response ? request.response->status : 0)
+            .add("took_ms", milliseconds(Core::monotonicNow() - request.sentAt))
+            .add("connection_lost", request.wasConnectionLost)
+            .logInfo();
         if (request.wasConnectionLost && !request.stopSignal.reason()) {
             auto const& healthPath = request.plan->services.find(request.service)->second.healthPath;
             HTTP::asio::co_spawn(
@@ -353,6 +414,7 @@
     }
     auto const choice = best();
     if (choice) {
+        logChoice(request, placement, *choice, asked.size());
         request.expectedCost = choice->cost;
         request.waitsAtTarget = choice->isWaiting;
         co_return choice->target->target;
@@ -487,15 +549,14 @@
     auto const latency = Core::monotonicNow() - request.arrivedAt;
     m_state.metrics.histogram("comfreysail_request_seconds", { { "route", request.route->name } }).add(latency);
     m_state.metrics.counter("comfreysail_requests_total", { { "status", std::to_string(head.status) } }).add();
-    if (head.status >= 500 || request.sends > 1) {
-        Telemetry::EventLine("request_answered")
-            .add("request_id", request.requestId)
-            .add("service", request.service)
-            .add("status", head.status)
-            .add("sends", request.sends)
-            .add("latency_ms", std::chrono::duration_cast<std::chrono::milliseconds>(latency).count())
-            .logInfo();
-    }
+    Telemetry::EventLine("request_answered")
+        .add("request_id", request.requestId)
+        .add("service", request.service)
+        .add("status", head.status)
+        .add("sends", request.sends)
+        .add("bytes", request.responseBody.size())
+        .add("latency_ms", milliseconds(latency))
+        .logInfo();
     if (head.endsWithConnection) {
         Telemetry::EventLine("answer_without_length")
             .add("request_id", request.requestId)
@@ -557,7 +618,7 @@
         .add("detail", error.detail)
         .add("sends", request.sends)
         .add("may_have_run", request.mayHaveRun)
-        .add("latency_ms", std::chrono::duration_cast<std::chrono::milliseconds>(latency).count())
+        .add("latency_ms", milliseconds(latency))
         .logInfo();
     if (exchange.isResponseStarted() || reason == ErrorKind::CallerGone) {
         exchange.abort();
--- a/Tests/LibTelemetry/TestTelemetry.cpp
+++ b/Tests/LibTelemetry/TestTelemetry.cpp
@@ -97,3 +97,34 @@
     auto& other = registry.counter("comfreysail_requests_total", { { "department", "other" } });
     CHECK(other.value() == 10'000 - (MetricRegistry::maxSeriesPerMetric - 1));
 }
+
+// A burst of refusals must neither fill the log nor cost the time of requests; its first and last lines stay.
+TEST_CASE("LogGate_Burst_KeepsTheFirstLinesAndTheLast")
+{
+    auto const at = [](int milliseconds) { return Core::Instant(std::chrono::milliseconds(milliseconds + 10'000)); };
+    LogGate gate(LogGateOptions { 3 });
+    for (int line = 0; line < 10; ++line)
+        CHECK(gate.admits("refused", "line " + std::to_string(line), at(line)) == (line < 3));
+    CHECK(gate.admits("other", "x", at(5)));
+    CHECK(gate.takeHeld(at(500)).empty());
+    CHECK(gate.takeHeld(at(1000)) == std::vector<HeldLines> { { "refused", 7, "line 9" } });
+    CHECK(gate.takeHeld(at(1001)).empty());
+    CHECK(gate.admits("refused", "line 10", at(1002)));
+}
+
+// What the daemon writes must be what the tool that explains a request reads.
+TEST_CASE("EventText_WrittenLine_IsReadAsItWas")
+{
+    EventLine line("request_refused");
+    line.add("request_id", "a1").add("detail", "x\n\"y\" = \\").add("empty", "").add("sends", 2);
+    auto const read
+        = parseEventLine("  26.0126 edge-1 I20260905 21:47:14.012493 10178 EventLine.cpp:62] " + line.text());
+    REQUIRE(read);
+    CHECK(*read
+        == EventText { "20260905 21:47:14.012493", "edge-1", "request_refused",
+            { { "request_id", "a1" }, { "detail", "x\n\"y\" = \\" }, { "empty", "" }, { "sends", "2" } } });
+    CHECK(read->field("sends") == "2");
+    CHECK_FALSE(read->field("other"));
+    CHECK_FALSE(parseEventLine("no event here"));
+    CHECK_FALSE(parseEventLine("previous_event=x"));
+}
--- a/Tests/Support/DaemonProcess.cpp
+++ b/Tests/Support/DaemonProcess.cpp
@@ -57,14 +57,14 @@
     return listener.port;
 }
 
-std::string settingsText(DaemonOptions const& options, uint16_t controlPort)
+std::string settingsText(DaemonOptions const& options, uint16_t callerPort, uint16_t adminPort, uint16_t controlPort)
 {
     std::string text = "vm_name = \"" + options.vmName + "\"\navailability_zone = \"" + options.availabilityZone
         + "\"\n"
         + (options.platformPort ? "placement = \"ask_targets\"\ngrace_seconds = \"6\"\n"
                                 : "settings_file = \"tree.toml\"\n")
         + "balancer_lag_ms = " + std::to_string(options.balancerLagMilliseconds) + "\n";
-    std::vector<std::pair<std::string, uint16_t>> listeners { { "caller", 0 }, { "admin", 0 } };
+    std::vector<std::pair<std::string, uint16_t>> listeners { { "caller", callerPort }, { "admin", adminPort } };
     if (options.platformPort)
         listeners.emplace_back("platform", *options.platformPort);
     else
@@ -80,8 +80,22 @@
     return text + "[limits]\n" + options.limits + "\n";
 }
 
-/// Starts the program with its output in a file. The child calls only functions that are safe after fork().
-int startProgram(std::vector<std::string> const& arguments, std::filesystem::path const& output)
+/// Two ends of a pipe that takes no more bytes.
+std::array<int, 2> makeFullPipe()
+{
+    std::array<int, 2> ends {};
+    if (::pipe2(ends.data(), O_CLOEXEC | O_NONBLOCK) != 0)
+        throw std::runtime_error("cannot make a pipe");
+    std::array<char, 4096> const bytes {};
+    while (::write(ends[1], bytes.data(), bytes.size()) > 0) { }
+    while (::write(ends[1], bytes.data(), 1) > 0) { }
+    ::fcntl(ends[1], F_SETFL, 0);
+    return ends;
+}
+
+/// Starts the program with its output in a file or, when one is given, a pipe. The child calls only functions that are
+/// safe after fork().
+int startProgram(std::vector<std::string> const& arguments, std::filesystem::path const& output, int pipeEnd = -1)
 {
     std::vector<char*> pointers { const_cast<char*>(program.c_str()) };
     for (auto const& argument : arguments)
@@ -91,7 +105,7 @@
     int const process = ::fork();
     if (process != 0)
         return process;
-    int const descriptor = ::open(outputPath.c_str(), O_CREAT | O_WRONLY | O_APPEND, 0600);
+    int const descriptor = pipeEnd >= 0 ? pipeEnd : ::open(outputPath.c_str(), O_CREAT | O_WRONLY | O_APPEND, 0600);
     ::dup2(descriptor, STDOUT_FILENO);
     ::dup2(descriptor, STDERR_FILENO);
     ::execv(program.c_str(), pointers.data());
@@ -113,18 +127,30 @@
     , m_controlPort(freePort())
 {
     std::ofstream(m_folder / "tree.toml") << treeText(options);
-    std::ofstream(m_folder / "daemon.toml") << settingsText(options, m_controlPort);
-    m_process = startProgram({ "--settings", (m_folder / "daemon.toml").string() }, m_folder / "log");
+    // Without a readable log the ports are chosen here.
+    if (options.logsIntoFullPipe) {
+        m_callerPort = freePort();
+        m_adminPort = freePort();
+    }
+    std::ofstream(m_folder / "daemon.toml") << settingsText(options, m_callerPort, m_adminPort, m_controlPort);
+    int writingEnd = -1;
+    if (options.logsIntoFullPipe) {
+        auto const ends = makeFullPipe();
+        m_fullPipe = ends[0];
+        writingEnd = ends[1];
+    }
+    m_process = startProgram({ "--settings", (m_folder / "daemon.toml").string() }, m_folder / "log", writingEnd);
     auto const deadline = std::chrono::steady_clock::now() + startTimeout;
-    while (log().find("event=started") == std::string::npos || !log().ends_with("\n")) {
-        if (std::chrono::steady_clock::now() > deadline || ::waitpid(m_process, nullptr, WNOHANG) != 0)
-            throw std::runtime_error("comfreysaild did not start: " + log());
-        std::this_thread::sleep_for(pollInterval);
+    if (options.logsIntoFullPipe) {
+        ::close(writingEnd);
+        std::this_thread::sleep_for(std::chrono::seconds(1));
+    } else {
+        waitForLog(deadline);
+        m_callerPort = portFromLog("caller_port=");
+        if (!options.platformPort)
+            m_peerPort = portFromLog("peer_port=");
+        m_adminPort = portFromLog("admin_port=");
     }
-    m_callerPort = portFromLog("caller_port=");
-    if (!options.platformPort)
-        m_peerPort = portFromLog("peer_port=");
-    m_adminPort = portFromLog("admin_port=");
     while (options.waitsUntilReady && admin("/ready").status() != 200) {
         if (std::chrono::steady_clock::now() > deadline)
             throw std::runtime_error("comfreysaild is not ready: " + log());
@@ -132,6 +158,15 @@
     }
 }
 
+void DaemonProcess::waitForLog(std::chrono::steady_clock::time_point deadline) const
+{
+    while (log().find("event=started") == std::string::npos || !log().ends_with("\n")) {
+        if (std::chrono::steady_clock::now() > deadline || ::waitpid(m_process, nullptr, WNOHANG) != 0)
+            throw std::runtime_error("comfreysaild did not start: " + log());
+        std::this_thread::sleep_for(pollInterval);
+    }
+}
+
 void DaemonProcess::kill()
 {
     if (m_process <= 0)
@@ -143,6 +178,8 @@
 DaemonProcess::~DaemonProcess()
 {
     kill();
+    if (m_fullPipe >= 0)
+        ::close(m_fullPipe);
     std::error_code ignored;
     std::filesystem::remove_all(m_folder, ignored);
 }
--- a/Tests/Support/DaemonProcess.h
+++ b/Tests/Support/DaemonProcess.h
@@ -28,6 +28,7 @@
     /// Port of the platform. The daemon then serves targets that register themselves, and has no settings tree.
     std::optional<uint16_t> platformPort;
     bool waitsUntilReady { true };
+    bool logsIntoFullPipe { false }; ///< The log goes to a pipe that is full and that nobody reads.
 };
 
 /// The real comfreysaild with one service, "orders.test", whose routes are GET / (lookup), GET /files (download) and
@@ -59,7 +60,10 @@
 private:
     uint16_t portFromLog(std::string const& key) const;
 
+    void waitForLog(std::chrono::steady_clock::time_point deadline) const;
+
     std::filesystem::path m_folder;
+    int m_fullPipe { -1 }; ///< Reading end; nothing is read from it.
     int m_process { -1 };
     uint16_t m_controlPort;
     uint16_t m_callerPort { 0 };
--- a/Tests/comfreysail/TestComfreysail.cpp
+++ b/Tests/comfreysail/TestComfreysail.cpp
@@ -276,3 +276,33 @@
     setFaults(R"({"mode":"down"})");
     CHECK(tool({ "moves", "pause", "m2", "--timeout", "0.3" }).code == 1);
 }
+
+// On-call engineers have only the logs of several daemons.
+TEST_CASE_METHOD(Fixture, "Tool_Explain_ShowsTheWayOfOneRequestWithWhatWasBelieved")
+{
+    auto const line = [](std::string const& time, std::string const& text) {
+        return "I20261204 10:00:" + time + " 7 EventLine.cpp:62] " + text + "\n";
+    };
+    auto const first = file("a.log",
+        line("00.1", "event=started vm_name=vm-1") + line("00.2", "event=settings_adopted revision=4")
+            + line("00.3", "event=settings_adopted revision=5")
+            + line("01.0", "event=request_arrived request_id=a1 route=r") + line("01.1", "event=x request_id=a2")
+            + line("01.4", "event=request_refused request_id=a1 error=no_target_available"));
+    auto const second = file(
+        "b.log", line("00.1", "event=started vm_name=vm-2") + line("01.2", "event=request_arrived request_id=a1"));
+    auto const finished = Tests::runProgram({ COMFREYSAIL_BIN_DIR "/comfreysail", "explain", "a1", first, second });
+    CHECK(finished.code == 0);
+    CHECK(finished.output
+        == "believed by vm-1:\n    20261204 10:00:00.1 vm-1 started vm_name=vm-1\n"
+           "    20261204 10:00:00.3 vm-1 settings_adopted revision=5\nsteps:\n"
+           "  20261204 10:00:01.0 vm-1 request_arrived route=r\n"
+           "believed by vm-2:\n    20261204 10:00:00.1 vm-2 started vm_name=vm-2\nsteps:\n"
+           "  20261204 10:00:01.2 vm-2 request_arrived\n"
+           "believed by vm-1:\n    20261204 10:00:00.1 vm-1 started vm_name=vm-1\n"
+           "    20261204 10:00:00.3 vm-1 settings_adopted revision=5\nsteps:\n"
+           "  20261204 10:00:01.4 vm-1 request_refused error=no_target_available\n");
+    auto const none = Tests::runProgram({ COMFREYSAIL_BIN_DIR "/comfreysail", "explain", "a3", first });
+    CHECK(none.code == 1);
+    CHECK_THAT(none.errors, Catch::Matchers::Contains("no line has the request id a3"));
+    CHECK(Tests::runProgram({ COMFREYSAIL_BIN_DIR "/comfreysail", "explain" }).code == 2);
+}
--- a/Tests/comfreysaild/TestEntryAnswers.cpp
+++ b/Tests/comfreysaild/TestEntryAnswers.cpp
@@ -248,3 +248,16 @@
     CHECK(left <= 700);
     CHECK(left > 400);
 }
+
+// A reader of the log that stops reading must not hold up requests once the pipe is full.
+TEST_CASE_METHOD(EntryFixture, "Entry_LogIsNotRead_RequestsAreAnswered")
+{
+    addTarget("t1", answerWhole);
+    DaemonOptions options;
+    options.logsIntoFullPipe = true;
+    startDaemon(options);
+    auto const begin = std::chrono::steady_clock::now();
+    for (int count = 0; count < 50; ++count)
+        REQUIRE(call("GET", "/read/1").status() == 200);
+    CHECK(std::chrono::steady_clock::now() - begin < 5s);
+}
--- a/Utilities/comfreysail/Commands.h
+++ b/Utilities/comfreysail/Commands.h
@@ -10,5 +10,7 @@
 Report runDiff(ToolContext const&);
 Report runStatus(ToolContext const&);
 Report runMoves(ToolContext const&);
+/// Reads logs of daemons and shows the way of one request with what was believed at each step. Needs no daemon.
+Report runExplain(Invocation const&);
 
 }
--- /dev/null
+++ b/Utilities/comfreysail/ExplainCommand.cpp
@@ -0,0 +1,122 @@
+#include "Commands.h"
+
+#include <LibTelemetry/EventText.h>
+#include <algorithm>
+#include <array>
+#include <fstream>
+#include <iostream>
+#include <map>
+
+namespace Comfreysail::Tool {
+
+namespace {
+
+using Telemetry::EventText;
+
+/// Events that change what a daemon believes. The last of each kind before a step was in force at that step.
+constexpr std::array<std::string_view, 8> beliefEvents { "started", "settings_adopted", "zones_out", "move_ordered",
+    "move_ended", "store_lost", "store_reached", "signal" };
+
+struct Line {
+    EventText text;
+    std::string daemon;
+    size_t number { 0 }; ///< Order of reading, for lines of the same time.
+};
+
+void readLines(std::istream& stream, std::string const& name, std::vector<Line>& lines)
+{
+    std::string line;
+    std::string daemon = name;
+    while (std::getline(stream, line)) {
+        auto text = Telemetry::parseEventLine(line);
+        if (!text)
+            continue;
+        // A file of one daemon tells its name at the start; a collector's file names the daemon in each line.
+        if (auto const vmName = text->field("vm_name"))
+            daemon = *vmName;
+        auto const& source = text->source.empty() ? daemon : text->source;
+        lines.push_back({ std::move(*text), source, lines.size() });
+    }
+}
+
+std::string fieldsText(EventText const& text)
+{
+    std::string result = text.event;
+    for (auto const& [key, value] : text.fields) {
+        if (key != "request_id")
+            result += " " + key + "=" + (value.empty() ? "\"\"" : value);
+    }
+    return result;
+}
+
+std::string lineText(Line const& line, std::string_view mark)
+{
+    return std::string(mark) + line.text.time + " " + line.daemon + " " + fieldsText(line.text) + "\n";
+}
+
+/// What the daemon believed before the line, one line for each kind of belief.
+std::vector<Line const*> beliefsBefore(std::vector<Line> const& lines, Line const& step)
+{
+    std::map<std::string, Line const*> beliefs;
+    for (auto const& line : lines) {
+        if (&line == &step)
+            break;
+        if (line.daemon != step.daemon || std::ranges::find(beliefEvents, line.text.event) == beliefEvents.end())
+            continue;
+        if (line.text.event == "started")
+            beliefs.clear(); // Nothing outlives a process.
+        auto const about = line.text.event.starts_with("store_")
+            ? "store " + std::string(line.text.field("table").value_or(""))
+            : line.text.event + " " + std::string(line.text.field("service").value_or(""));
+        beliefs[about] = &line;
+    }
+    std::vector<Line const*> result;
+    for (auto const& [about, line] : beliefs)
+        result.push_back(line);
+    std::ranges::sort(result, {}, [](Line const* line) { return line->number; });
+    return result;
+}
+
+}
+
+Report runExplain(Invocation const& invocation)
+{
+    std::vector<Line> lines;
+    for (auto const& file : invocation.logFiles) {
+        std::ifstream stream(file);
+        if (!stream)
+            return Report::ofError({ Core::ErrorKind::MalformedRequest, "cannot read " + file });
+        readLines(stream, file, lines);
+    }
+    if (invocation.logFiles.empty())
+        readLines(std::cin, "standard input", lines);
+    std::ranges::stable_sort(lines, {}, [](Line const& line) { return line.text.time; });
+    for (size_t number = 0; number < lines.size(); ++number)
+        lines[number].number = number;
+
+    Report report;
+    boost::json::array steps;
+    std::string lastDaemon;
+    for (auto const& line : lines) {
+        if (line.text.field("request_id") != std::string_view(invocation.requestId))
+            continue;
+        if (line.daemon != lastDaemon) {
+            report.text += "believed by " + line.daemon + ":\n";
+            for (auto const* belief : beliefsBefore(lines, line))
+                report.text += lineText(*belief, "    ");
+            report.text += "steps:\n";
+            lastDaemon = line.daemon;
+        }
+        report.text += lineText(line, "  ");
+        steps.emplace_back(boost::json::object {
+            { "time", line.text.time }, { "daemon", line.daemon }, { "step", fieldsText(line.text) } });
+    }
+    if (steps.empty()) {
+        report.code = ExitCode::Failed;
+        report.problem = "no line has the request id " + invocation.requestId;
+    }
+    report.json["steps"] = std::move(steps);
+    return report;
+}
+
+}
--- a/Utilities/comfreysail/Invocation.cpp
+++ b/Utilities/comfreysail/Invocation.cpp
@@ -20,6 +20,8 @@
 using Command = Invocation::Command;
 using MovesAction = Invocation::MovesAction;
 
+constexpr size_t maxLogFiles = 10'000;
+
 struct CommandRule {
     std::string_view name;
     Command command;
@@ -38,6 +40,7 @@
         { "status", Command::Status, 0, 0, { "platform", "daemon", "admin-port", "timeout" } },
         { "moves", Command::Moves, 0, 2,
             { "platform", "timeout", "change-id", "service", "kind", "from", "to", "start", "finish-by", "reason" } },
+        { "explain", Command::Explain, 1, maxLogFiles + 1, {} },
     };
     return rules;
 }
@@ -122,13 +125,14 @@
         auto const words = m_values.contains("words") ? m_values["words"].as<std::vector<std::string>>()
                                                       : std::vector<std::string>();
         if (words.empty())
-            return usage("a command is required: apply, show, diff, status or moves");
+            return usage("a command is required: apply, show, diff, status, moves or explain");
         auto const rule = std::ranges::find(commandRules(), std::string_view(words[0]), &CommandRule::name);
         if (rule == commandRules().end())
-            return usage("unknown command \"" + words[0] + "\"; commands: apply, show, diff, status, moves");
+            return usage("unknown command \"" + words[0] + "\"; commands: apply, show, diff, status, moves, explain");
         m_result.command = rule->command;
         if (words.size() - 1 < rule->minArguments)
-            return usage(words[0] + " needs a FILE");
+            return usage(
+                words[0] + (rule->command == Command::Explain ? " needs the id of a request" : " needs a FILE"));
         if (words.size() - 1 > rule->maxArguments)
             return usage(words[0] + " does not take the argument \"" + words.back() + '"');
         checkOptions(words[0], rule->options, commonOptions);
@@ -139,6 +143,10 @@
             readShow(words);
         if (rule->command == Command::Moves)
             readMoves(words);
+        if (rule->command == Command::Explain) {
+            m_result.requestId = words[1];
+            m_result.logFiles.assign(words.begin() + 2, words.end());
+        }
         checkPlatform();
         if (!m_faults.empty())
             return usage(m_faults);
@@ -268,7 +276,8 @@
 
     void checkPlatform()
     {
-        auto const needsPlatform = m_result.command != Command::Status || m_result.daemons.empty();
+        auto const needsPlatform
+            = m_result.command != Command::Explain && (m_result.command != Command::Status || m_result.daemons.empty());
         if (needsPlatform && !m_values.contains("platform"))
             addFault(
                 m_result.command == Command::Status ? "--platform or --daemon is required" : "--platform is required");
@@ -309,6 +318,7 @@
             "  comfreysail moves [list]\n"
             "  comfreysail moves declare ID --kind KIND --from A [--to B] [--service S] [--start T] --finish-by T\n"
             "  comfreysail moves pause|resume|take-back ID [--reason TEXT]\n"
+            "  comfreysail explain REQUEST-ID [LOG...]\n"
             "\n"
          << visibleOptions()
          << "\nExit codes:\n"
--- a/Utilities/comfreysail/Invocation.h
+++ b/Utilities/comfreysail/Invocation.h
@@ -12,7 +12,7 @@
 
 /// What the operator asked for on the command line.
 struct Invocation {
-    enum class Command : uint8_t { Help, Version, Apply, Show, Diff, Status, Moves };
+    enum class Command : uint8_t { Help, Version, Apply, Show, Diff, Status, Moves, Explain };
     enum class MovesAction : uint8_t { List, Declare, Pause, Resume, TakeBack };
 
     Command command { Command::Help };
@@ -32,6 +32,9 @@
     std::string key;        ///< show; empty for all.
     bool wantsToml { false };
 
+    std::string requestId;             ///< explain.
+    std::vector<std::string> logFiles; ///< explain; none for standard input.
+
     MovesAction movesAction { MovesAction::List };
     std::string moveId;
     std::string moveKind;
--- a/Utilities/comfreysail/main.cpp
+++ b/Utilities/comfreysail/main.cpp
@@ -20,6 +20,8 @@
         return runStatus(context);
     case Invocation::Command::Moves:
         return runMoves(context);
+    case Invocation::Command::Explain:
+        return runExplain(invocation);
     case Invocation::Command::Help:
     case Invocation::Command::Version:
         break;
