comfreysail: Name the daemon of a collector's line in explain

Cause: the name was read from a value that had been moved from, so steps had no daemon and no beliefs.

Change: it is copied first; Tool_Explain has a collector's file.

Ruled out: the parser, whose test passed.

--- a/Tests/comfreysail/TestComfreysail.cpp
+++ b/Tests/comfreysail/TestComfreysail.cpp
@@ -301,6 +301,10 @@
            "believed by vm-1:\n    20261204 10:00:00.1 vm-1 started vm_name=vm-1\n"
            "    20261204 10:00:00.3 vm-1 settings_adopted revision=5\nsteps:\n"
            "  20261204 10:00:01.4 vm-1 request_refused error=no_target_available\n");
+    // A collector's file has the lines of all daemons, each with the daemon's name before it.
+    auto const collected = file("c.log", " 1.5 vm-3 " + line("00.1", "event=request_arrived request_id=a4"));
+    auto const named = Tests::runProgram({ COMFREYSAIL_BIN_DIR "/comfreysail", "explain", "a4", collected });
+    CHECK(named.output == "believed by vm-3:\nsteps:\n  20261204 10:00:00.1 vm-3 request_arrived\n");
     auto const none = Tests::runProgram({ COMFREYSAIL_BIN_DIR "/comfreysail", "explain", "a3", first });
     CHECK(none.code == 1);
     CHECK_THAT(none.errors, Catch::Matchers::Contains("no line has the request id a3"));
--- a/Utilities/comfreysail/ExplainCommand.cpp
+++ b/Utilities/comfreysail/ExplainCommand.cpp
@@ -34,8 +34,8 @@
         // A file of one daemon tells its name at the start; a collector's file names the daemon in each line.
         if (auto const vmName = text->field("vm_name"))
             daemon = *vmName;
-        auto const& source = text->source.empty() ? daemon : text->source;
-        lines.push_back({ std::move(*text), source, lines.size() });
+        auto source = text->source.empty() ? daemon : text->source;
+        lines.push_back({ std::move(*text), std::move(source), lines.size() });
     }
 }
 
