--- a/Libraries/LibTraffic/Placement.cpp
+++ b/Libraries/LibTraffic/Placement.cpp
@@ -84,7 +84,8 @@
     std::mt19937_64 generator(draw);
     std::ranges::shuffle(candidates, generator);
     if (request.isDownload)
-        std::ranges::stable_partition(candidates, [&](auto const* record) { return isInOwnZone(*record, request); });
+        std::stable_partition(
+            candidates.begin(), candidates.end(), [&](auto const* record) { return isInOwnZone(*record, request); });
     if (candidates.size() > options.targetsAskedPerRound)
         candidates.resize(options.targetsAskedPerRound);
     return candidates;
--- a/Libraries/LibTraffic/SharedRows.cpp
+++ b/Libraries/LibTraffic/SharedRows.cpp
@@ -28,7 +28,7 @@
     return true;
 }
 
-bool SharedRows::replaceTable(std::string_view table, Table rows, uint64_t revision)
+bool SharedRows::replaceTable(std::string_view table, Table const& rows, uint64_t revision)
 {
     auto& known = m_revisions[std::string(table)];
     if (revision < known)
@@ -42,8 +42,8 @@
     bool hasChanged = false;
     for (auto const& key : removed)
         hasChanged = set(table, key, std::nullopt) || hasChanged;
-    for (auto& [key, text] : rows)
-        hasChanged = set(table, key, std::move(text)) || hasChanged;
+    for (auto const& [key, text] : rows)
+        hasChanged = set(table, key, text) || hasChanged;
     dropOldRemovals();
     return hasChanged;
 }
--- a/Libraries/LibTraffic/SharedRows.h
+++ b/Libraries/LibTraffic/SharedRows.h
@@ -35,7 +35,7 @@
     using Table = std::map<std::string, std::string, std::less<>>;
 
     /// Takes over a table as read from the store. True when a row changed. An older reading changes nothing.
-    bool replaceTable(std::string_view table, Table rows, uint64_t revision);
+    bool replaceTable(std::string_view table, Table const& rows, uint64_t revision);
 
     /// Takes over what another daemon told. Changes of an older reading than the own one are refused: rows must not go
     /// back when a daemon turns to another source. False when refused.
--- a/Services/comfreysaild/EntryHandler.cpp
+++ b/Services/comfreysaild/EntryHandler.cpp
@@ -309,7 +309,6 @@
 
 awaitable<Result<RegisteredTarget>> EntryHandler::selectTarget(EntryRequest& request)
 {
-    Traffic::PlacementOptions const options;
     auto const placement = placementOf(request);
     auto const& plan = *request.plan;
     auto const service = plan.services.find(request.service);
--- a/Services/comfreysaild/Relay.cpp
+++ b/Services/comfreysaild/Relay.cpp
@@ -126,16 +126,18 @@
     if (!isError(ready)) {
         auto const response = co_await connection->readHead("GET");
         std::string received;
+        bool isComplete = false;
         std::vector<char> buffer(size_t { 16 } * 1024);
         bool mayRead = !isError(response) && valueOf(response).status == 200;
         while (mayRead) {
             auto const size = co_await connection->readBody(buffer);
+            isComplete = !isError(size) && valueOf(size) == 0;
             mayRead = !isError(size) && valueOf(size) > 0;
             if (mayRead)
                 received.append(buffer.data(), valueOf(size));
-            else if (!isError(size))
-                body = std::move(received);
         }
+        if (isComplete)
+            body = std::move(received);
     }
     watchdog->disarm();
     if (body)
--- a/Tests/Fakes/FakePlatform/PlatformServer.cpp
+++ b/Tests/Fakes/FakePlatform/PlatformServer.cpp
@@ -194,7 +194,7 @@
 
 void PlatformServer::setFaults(FaultSwitch faults)
 {
-    m_faults = faults;
+    m_faults = std::move(faults);
     if (!m_control)
         return;
     if (m_faults.mode == FaultSwitch::Mode::Down) {
--- a/Tests/comfreysail/TestComfreysail.cpp
+++ b/Tests/comfreysail/TestComfreysail.cpp
@@ -280,6 +280,7 @@
 // On-call engineers have only the logs of several daemons.
 TEST_CASE_METHOD(Fixture, "Tool_Explain_ShowsTheWayOfOneRequestWithWhatWasBelieved")
 {
+    std::string const program = COMFREYSAIL_BIN_DIR "/comfreysail";
     auto const line = [](std::string const& time, std::string const& text) {
         return "I20261204 10:00:" + time + " 7 EventLine.cpp:62] " + text + "\n";
     };
@@ -290,23 +291,22 @@
             + line("01.4", "event=request_refused request_id=a1 error=no_target_available"));
     auto const second = file(
         "b.log", line("00.1", "event=started vm_name=vm-2") + line("01.2", "event=request_arrived request_id=a1"));
-    auto const finished = Tests::runProgram({ COMFREYSAIL_BIN_DIR "/comfreysail", "explain", "a1", first, second });
+    auto const finished = Tests::runProgram({ program, "explain", "a1", first, second });
     CHECK(finished.code == 0);
+    std::string const believedByFirst = "believed by vm-1:\n    20261204 10:00:00.1 vm-1 started vm_name=vm-1\n"
+                                        "    20261204 10:00:00.3 vm-1 settings_adopted revision=5\nsteps:\n";
+    std::string const believedBySecond
+        = "believed by vm-2:\n    20261204 10:00:00.1 vm-2 started vm_name=vm-2\nsteps:\n";
     CHECK(finished.output
-        == "believed by vm-1:\n    20261204 10:00:00.1 vm-1 started vm_name=vm-1\n"
-           "    20261204 10:00:00.3 vm-1 settings_adopted revision=5\nsteps:\n"
-           "  20261204 10:00:01.0 vm-1 request_arrived route=r\n"
-           "believed by vm-2:\n    20261204 10:00:00.1 vm-2 started vm_name=vm-2\nsteps:\n"
-           "  20261204 10:00:01.2 vm-2 request_arrived\n"
-           "believed by vm-1:\n    20261204 10:00:00.1 vm-1 started vm_name=vm-1\n"
-           "    20261204 10:00:00.3 vm-1 settings_adopted revision=5\nsteps:\n"
-           "  20261204 10:00:01.4 vm-1 request_refused error=no_target_available\n");
+        == believedByFirst + "  20261204 10:00:01.0 vm-1 request_arrived route=r\n" + believedBySecond
+            + "  20261204 10:00:01.2 vm-2 request_arrived\n" + believedByFirst
+            + "  20261204 10:00:01.4 vm-1 request_refused error=no_target_available\n");
     // A collector's file has the lines of all daemons, each with the daemon's name before it.
     auto const collected = file("c.log", " 1.5 vm-3 " + line("00.1", "event=request_arrived request_id=a4"));
-    auto const named = Tests::runProgram({ COMFREYSAIL_BIN_DIR "/comfreysail", "explain", "a4", collected });
+    auto const named = Tests::runProgram({ program, "explain", "a4", collected });
     CHECK(named.output == "believed by vm-3:\nsteps:\n  20261204 10:00:00.1 vm-3 request_arrived\n");
-    auto const none = Tests::runProgram({ COMFREYSAIL_BIN_DIR "/comfreysail", "explain", "a3", first });
+    auto const none = Tests::runProgram({ program, "explain", "a3", first });
     CHECK(none.code == 1);
     CHECK_THAT(none.errors, Catch::Matchers::Contains("no line has the request id a3"));
-    CHECK(Tests::runProgram({ COMFREYSAIL_BIN_DIR "/comfreysail", "explain" }).code == 2);
+    CHECK(Tests::runProgram({ program, "explain" }).code == 2);
 }
--- a/Tests/comfreysaild/TestEntryAnswers.cpp
+++ b/Tests/comfreysaild/TestEntryAnswers.cpp
@@ -34,7 +34,7 @@
     unsigned payRunsElsewhere; ///< Runs at the other target.
 };
 
-ScriptedTarget::Script sending(std::function<std::string(std::string const&)> text, bool keepOpen = true)
+ScriptedTarget::Script sending(std::function<std::string(std::string const&)> const& text, bool keepOpen = true)
 {
     return [=](RawConnection& connection, std::string const& head) {
         connection.send(text(head));
