comfreysaild: Have rows sooner after a restart

Ruled out: the store (it answered in 10 ms each time); CPU time (0.02 s to the start).

Change: without rows a seed has 60 ms, the store is read after 150 ms, and serving begins after the operators' rows and the targets. Up to 15 targets are asked before a refusal: with 13 of 16 full, 9 of 16 miss the free ones in 6 of 100 cases.

--- a/Libraries/LibTraffic/Placement.h
+++ b/Libraries/LibTraffic/Placement.h
@@ -12,7 +12,7 @@
 struct PlacementOptions {
     /// Targets asked for their load in one round. Three find a fast free slot in most cases at moderate load.
     unsigned targetsAskedPerRound { 3 };
-    unsigned maxRounds { 3 };
+    unsigned maxRounds { 5 };
     /// Targets of a service that one daemon uses.
     size_t targetsOfOneDaemon { 24 };
     /// A target that expects to finish within this multiple of the usual time is taken without asking others.
--- a/Services/comfreysaild/Relay.cpp
+++ b/Services/comfreysaild/Relay.cpp
@@ -23,6 +23,8 @@
 constexpr auto longestWait = 600ms;
 constexpr auto answerTimeout = 900ms;
 constexpr auto timeoutWithoutWait = 250ms;
+// After its start a daemon refuses requests until it has rows; a seed inside the region that is up answers sooner.
+constexpr auto timeoutAtStart = 60ms;
 // A daemon that has not asked for this long asks another one now, which counts its evidence.
 constexpr auto followerTimeout = 3s;
 
@@ -156,7 +158,8 @@
     auto target = "/rows?name=" + encoded(m_vmName) + "&incarnation=" + encoded(known.incarnation)
         + "&after=" + std::to_string(known.version) + "&wait_ms=" + std::to_string(wait)
         + "&evidence=" + encoded(evidenceText(now));
-    auto const body = co_await exchange(endpoint, std::move(target), canWait ? answerTimeout : timeoutWithoutWait);
+    auto const timeout = canWait ? answerTimeout : m_state.plan ? timeoutWithoutWait : timeoutAtStart;
+    auto const body = co_await exchange(endpoint, std::move(target), timeout);
     auto const result = body ? adopt(member, *body) : RelayAnswer::Failed;
     co_return result;
 }
--- a/Services/comfreysaild/StoreFollower.cpp
+++ b/Services/comfreysaild/StoreFollower.cpp
@@ -22,7 +22,7 @@
 constexpr auto pauseAfterFailure = 100ms;
 // Daemons that start together with their seeds let these read the store first. Each tenth of a second without rows
 // refuses requests, so it is short.
-constexpr auto seedLead = 300ms;
+constexpr auto seedLead = 150ms;
 constexpr auto startPause = 30ms;
 // A store that does not answer is not asked by all daemons again and again.
 constexpr auto shortestStoreRetry = 500ms;
@@ -173,13 +173,15 @@
     bool const hasTargets = co_await m_reader.readTable(Platform::Table::targets);
     if (!hasTargets)
         co_return false;
+    m_state.rowsReadAt = startedAt;
+    // Requests are served from here on; the other tables can follow.
+    adoptRows();
     if (startedAt - m_membersReadAt >= membersInterval || m_membersReadAt == Instant {}) {
         m_membersReadAt = startedAt;
         co_await m_reader.readTable(Platform::Table::members);
         co_await m_reader.readTable(Platform::Table::crashes);
+        adoptRows();
     }
-    m_state.rowsReadAt = startedAt;
-    adoptRows();
     co_return true;
 }
 
