LibTraffic: Ask for room at two fifths of the targets for late requests

Ruled out: idle slots (8 of 10 targets full at refusals).

Change: a late request needs room at two fifths of the targets that can be asked, at least three.

--- a/Libraries/LibTraffic/Placement.cpp
+++ b/Libraries/LibTraffic/Placement.cpp
@@ -2,6 +2,7 @@
 
 #include <LibCore/Hash.h>
 #include <algorithm>
+#include <cmath>
 #include <random>
 
 namespace Comfreysail::Traffic {
@@ -106,7 +107,10 @@
         if (cost && (!best || *cost < best->cost))
             best = Choice { record, *cost, busyRequests(*record) >= record->load->slots };
     }
-    auto const roomForLate = std::min<size_t>(options.roomForLateRequests, candidates.size());
+    auto const askable = std::min<size_t>(candidates.size(), options.targetsAskedPerRound * options.maxRounds);
+    auto const part
+        = static_cast<size_t>(std::ceil(options.partWithRoomForLateRequests * static_cast<double>(askable)));
+    auto const roomForLate = std::min(std::max(options.roomForLateRequests, part), candidates.size());
     if (request.isLate && withRoom < roomForLate)
         return std::nullopt;
     return best;
--- a/Libraries/LibTraffic/Placement.h
+++ b/Libraries/LibTraffic/Placement.h
@@ -26,7 +26,9 @@
     /// Targets with room that a request needs to see when it can no longer end within its latency target; all targets
     /// where there are fewer. It leaves the
     /// last free slot to a request that still can: as many are served, and more of them in time.
-    unsigned roomForLateRequests { 3 };
+    size_t roomForLateRequests { 3 };
+    /// The same as a part of the targets that can be asked.
+    double partWithRoomForLateRequests { 0.4 };
     /// How old a load report may be to count as the answer to a question now.
     Core::Duration longestReportAge { std::chrono::milliseconds(25) };
 
