LibTraffic: Judge new versions by significance, and begin their trial at a larger share

Its move of 8.8 s left 4 s of trial with about 20 requests, and slowness counted only above an excess of 0.4.

Ruled out: evidence that arrives late (it was there, below the bound); the store (up at that time).

EntryHandler is split into selection and exchange.

--- a/Libraries/LibTraffic/AnswerRule.cpp
+++ b/Libraries/LibTraffic/AnswerRule.cpp
@@ -11,6 +11,25 @@
 
 }
 
+std::string_view verdictName(AnswerVerdict verdict)
+{
+    switch (verdict) {
+    case AnswerVerdict::Deliver:
+        return "deliver";
+    case AnswerVerdict::NotRun:
+        return "not_run";
+    case AnswerVerdict::OtherTarget:
+        return "other_target";
+    case AnswerVerdict::Failed:
+        return "failed";
+    case AnswerVerdict::Foreign:
+        return "foreign";
+    case AnswerVerdict::Invalid:
+        break;
+    }
+    return "invalid";
+}
+
 bool promisesNotRun(unsigned status)
 {
     return status == 408 || status == misdirected || status == 429 || status == 503;
--- a/Libraries/LibTraffic/AnswerRule.h
+++ b/Libraries/LibTraffic/AnswerRule.h
@@ -2,6 +2,7 @@
 
 #include <LibTraffic/TrafficPlan.h>
 #include <cstdint>
+#include <string_view>
 
 namespace Comfreysail::Traffic {
 
@@ -25,6 +26,9 @@
     Invalid,     ///< No valid response; the request may have run.
 };
 
+/// Name for logs.
+std::string_view verdictName(AnswerVerdict);
+
 AnswerVerdict judgeAnswer(AnswerFacts const&);
 
 /// True for statuses by which a response promises that the request did not run and will not run.
--- a/Libraries/LibTraffic/MoveJudge.cpp
+++ b/Libraries/LibTraffic/MoveJudge.cpp
@@ -1,6 +1,7 @@
 #include <LibTraffic/MoveJudge.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace Comfreysail::Traffic {
 
@@ -13,6 +14,17 @@
     return total == 0 ? 0 : static_cast<double>(count) / static_cast<double>(total);
 }
 
+/// How many standard deviations the first part lies above the second, if both came from the same chance.
+double deviations(uint64_t first, uint64_t firstTotal, uint64_t second, uint64_t secondTotal)
+{
+    if (firstTotal == 0 || secondTotal == 0)
+        return 0;
+    auto const sizes = 1.0 / static_cast<double>(firstTotal) + 1.0 / static_cast<double>(secondTotal);
+    // One success and one failure more keep the chance away from 0 and 1.
+    auto const chance = (static_cast<double>(first + second) + 1) / (static_cast<double>(firstTotal + secondTotal) + 2);
+    return (partOf(first, firstTotal) - partOf(second, secondTotal)) / std::sqrt(chance * (1 - chance) * sizes);
+}
+
 Duration trialTime(VersionMove const& move, MoveOptions const& options)
 {
     auto const wanted = std::chrono::duration_cast<Duration>(move.duration * options.trialPart);
@@ -26,19 +38,36 @@
     return { left.requests + right.requests, left.failures + right.failures, left.slow + right.slow };
 }
 
-bool isBad(VersionEvidence const& newVersion, VersionEvidence const& oldVersion, MoveOptions const& options)
+bool isBad(
+    VersionEvidence const& newVersion, VersionEvidence const& oldVersion, bool isTrial, MoveOptions const& options)
 {
     auto const failureExcess
         = partOf(newVersion.failures, newVersion.requests) - partOf(oldVersion.failures, oldVersion.requests);
-    if (newVersion.failures >= options.failuresForVerdict && failureExcess >= options.failureShareForVerdict)
+    bool const fails = newVersion.failures >= options.failuresForVerdict
+        && failureExcess >= options.failureShareForVerdict
+        && deviations(newVersion.failures, newVersion.requests, oldVersion.failures, oldVersion.requests)
+            >= options.significance;
+    if (fails)
         return true;
     auto const slowExcess = partOf(newVersion.slow, newVersion.requests) - partOf(oldVersion.slow, oldVersion.requests);
-    return newVersion.slow >= options.slowForVerdict && slowExcess >= options.slowShareExcess;
+    auto const neededExcess = isTrial ? options.slowShareExcess : options.slowShareExcessAfterTrial;
+    return newVersion.slow >= options.slowForVerdict && slowExcess >= neededExcess
+        && deviations(newVersion.slow, newVersion.requests, oldVersion.slow, oldVersion.requests)
+        >= options.significance;
+}
+
+bool isTrial(VersionMove const& move, Duration since, MoveOptions const& options)
+{
+    return since < trialTime(move, options);
 }
 
-double shareOfNewVersion(VersionMove const& move, Duration since, MoveOptions const& options)
+double shareOfNewVersion(
+    VersionMove const& move, Duration since, uint64_t sent, size_t daemons, MoveOptions const& options)
 {
-    return since < trialTime(move, options) ? options.trialShare : 1;
+    if (!isTrial(move, since, options))
+        return 1;
+    auto const eager = daemons == 0 ? 0 : std::floor(options.eagerRequests / static_cast<double>(daemons));
+    return static_cast<double>(sent) < eager ? options.eagerShare : options.trialShare;
 }
 
 bool isFinished(VersionMove const& move, Duration since, MoveOptions const& options)
--- a/Services/comfreysaild/EntryState.cpp
+++ b/Services/comfreysaild/EntryState.cpp
@@ -1,6 +1,7 @@
 #include "EntryState.h"
 
 #include <algorithm>
+#include <platform/Names.h>
 
 namespace Comfreysail::Daemon {
 
@@ -32,7 +33,8 @@
         return to;
     auto const share = progress.state == MoveState::RolledBack
         ? 0
-        : Traffic::shareOfNewVersion(progress.move, now - progress.firstSeenAt, {});
+        : Traffic::shareOfNewVersion(progress.move, now - progress.firstSeenAt, progress.sentToNewVersion,
+            state.sharedRows.table(Platform::Table::members).size(), {});
     if (old == versions.end())
         return progress.state == MoveState::RolledBack ? std::string() : to;
     return hasNew && uniform < share ? to : old->first;
--- a/Services/comfreysaild/EntryState.h
+++ b/Services/comfreysaild/EntryState.h
@@ -17,6 +17,7 @@
     Core::Instant firstSeenAt {};
     Traffic::MoveState state { Traffic::MoveState::Running };
     uint64_t resultRevision { 0 };       ///< Of the row that tells the operators the state; 0 for none.
+    uint64_t sentToNewVersion { 0 };     ///< Requests of this daemon.
     Traffic::VersionEvidence newVersion; ///< Of this daemon.
     Traffic::VersionEvidence oldVersion;
     Traffic::VersionEvidence newVersionEverywhere; ///< Of all daemons, on a daemon that reads the store.
--- a/Services/comfreysaild/MoveKeeper.cpp
+++ b/Services/comfreysaild/MoveKeeper.cpp
@@ -121,7 +121,9 @@
         co_return;
     }
     auto const& newVersion = progress.newVersionEverywhere;
-    if (Traffic::isBad(newVersion, progress.oldVersionEverywhere, {})) {
+    auto const since = Core::monotonicNow() - progress.firstSeenAt;
+    bool const isTrial = Traffic::isTrial(progress.move, since, {});
+    if (Traffic::isBad(newVersion, progress.oldVersionEverywhere, isTrial, {})) {
         Telemetry::EventLine("move_judged_bad")
             .add("service", service)
             .add("to", progress.move.toVersion)
@@ -136,7 +138,7 @@
         m_adopter.adoptDecisions();
         m_relay.noteChange();
         co_await writeResult(service, MoveState::RolledBack);
-    } else if (Traffic::isFinished(progress.move, Core::monotonicNow() - progress.firstSeenAt, {})) {
+    } else if (Traffic::isFinished(progress.move, since, {})) {
         co_await writeResult(service, MoveState::Completed);
     }
 }
--- /dev/null
+++ b/Services/comfreysaild/TargetExchange.cpp
@@ -0,0 +1,174 @@
+#include "TargetExchange.h"
+
+#include <algorithm>
+#include <platform/Platform.h>
+
+namespace Comfreysail::Daemon {
+
+using Core::ErrorKind;
+using Core::Instant;
+using HTTP::awaitable;
+using HTTP::ClientConnection;
+using Traffic::AnswerVerdict;
+using Traffic::RegisteredTarget;
+using namespace std::chrono_literals;
+
+namespace {
+
+// A whole response up to this size is kept until it is complete, so that a truncated one can still be replaced.
+constexpr size_t maxKeptResponse = size_t { 1 } << 20;
+constexpr size_t pieceSize = size_t { 32 } * 1024;
+constexpr auto connectTimeout = 400ms;
+constexpr unsigned maxForeignResponses = 3;
+
+HTTP::RequestHead headForTarget(EntryRequest const& request, RegisteredTarget const& target, Instant now)
+{
+    auto const& names = Platform::headerNames();
+    auto head = request.exchange.head();
+    HTTP::removeHopByHopFields(head.fields);
+    for (auto const name : { "Content-Length", "Expect" })
+        head.fields.remove(name);
+    head.keepAlive = true;
+    head.chunked = false;
+    bool const hasLength = request.exchange.head().hasBody() || request.exchange.head().contentLength;
+    head.contentLength = hasLength ? std::optional<uint64_t>(request.body->size()) : std::nullopt;
+    auto const left = std::chrono::floor<std::chrono::milliseconds>(request.deadline - now).count();
+    head.fields.set(names.timeLeftMilliseconds, std::to_string(std::max<int64_t>(left, 1)));
+    head.fields.set(names.expectedTarget, target.id);
+    if (!request.requestId.empty())
+        head.fields.set(names.requestId, request.requestId);
+    return head;
+}
+
+Traffic::AnswerFacts factsOf(EntryRequest const& request, HTTP::ResponseHead const& head)
+{
+    auto const& names = Platform::headerNames();
+    Traffic::AnswerFacts facts;
+    facts.status = head.status;
+    facts.saysNotRun = head.fields.contains(names.notRun);
+    facts.hasSignature = head.fields.contains(names.signature);
+    facts.isForThisRequest = head.fields.find(names.requestId) == std::string_view(request.requestId);
+    facts.isEncoded = head.fields.contains("Content-Encoding");
+    return facts;
+}
+
+}
+
+TargetExchange::TargetExchange(HTTP::ConnectionPool& pool, EntryState& state)
+    : m_pool(pool)
+    , m_state(state)
+{
+}
+
+awaitable<std::shared_ptr<ClientConnection>> TargetExchange::connect(
+    EntryRequest& request, HTTP::Endpoint const& endpoint)
+{
+    auto connection = m_pool.create(endpoint);
+    auto const close = [&connection] { connection->close(); };
+    StopSignal::Scope const scope(request.stopSignal, close);
+    auto const watchdog = HTTP::Watchdog::create(request.exchange.strand());
+    watchdog->arm(Core::monotonicNow() + connectTimeout, close);
+    auto const connected = co_await connection->connect();
+    watchdog->disarm();
+    if (isError(connected))
+        co_return nullptr;
+    co_return connection;
+}
+
+awaitable<AnswerVerdict> TargetExchange::sendOnce(EntryRequest& request, RegisteredTarget const& target)
+{
+    HTTP::Endpoint const endpoint { target.address, target.port };
+    ++request.sends;
+    request.wasConnectionLost = false;
+    request.lastTarget = target.id;
+    // The question for its load was answered on this connection a moment ago, so the target still reads from it.
+    auto const policy = request.isIdempotent() ? HTTP::ReusePolicy::Any : HTTP::ReusePolicy::RecentlyUsed;
+    auto connection = m_pool.take(endpoint, policy, Core::monotonicNow());
+    if (!connection)
+        connection = co_await connect(request, endpoint);
+    if (!connection || request.stopSignal.reason()) {
+        if (!request.stopSignal.reason())
+            m_state.directory.noteFault(target.id, Traffic::TargetFault::Unreachable, Core::monotonicNow());
+        co_return AnswerVerdict::NotRun;
+    }
+    m_state.directory.noteSent(target.id);
+    request.sentAt = Core::monotonicNow();
+    bool const mayHaveRunBefore = std::exchange(request.mayHaveRun, true);
+    auto verdict = AnswerVerdict::NotRun;
+    {
+        StopSignal::Scope const scope(request.stopSignal, [&connection] { connection->close(); });
+        auto const head = headForTarget(request, target, request.sentAt);
+        auto const sent = co_await connection->send(head, request.body);
+        if (isError(sent))
+            m_pool.discard(connection, false);
+        else
+            verdict = co_await receive(request, target, connection);
+    }
+    m_state.directory.noteEnded(target.id);
+    if (verdict == AnswerVerdict::NotRun || verdict == AnswerVerdict::OtherTarget)
+        request.mayHaveRun = mayHaveRunBefore;
+    co_return verdict;
+}
+
+awaitable<AnswerVerdict> TargetExchange::receive(
+    EntryRequest& request, RegisteredTarget const& target, std::shared_ptr<ClientConnection> const& connection)
+{
+    for (unsigned foreign = 0; foreign < maxForeignResponses; ++foreign) {
+        auto head = co_await connection->readHead(request.exchange.head().method);
+        if (isError(head)) {
+            request.wasConnectionLost = errorOf(head).kind == ErrorKind::ConnectionLost;
+            m_pool.discard(connection, request.stopSignal.reason() == ErrorKind::DeadlineExceeded);
+            co_return AnswerVerdict::Invalid;
+        }
+        request.response = takeValue(std::move(head));
+        auto const verdict = Traffic::judgeAnswer(factsOf(request, *request.response));
+        auto const load = request.response->fields.find(Platform::headerNames().load);
+        if (auto const parsed = Traffic::parseTargetLoad(load.value_or("")))
+            m_state.directory.noteLoad(target.id, *parsed, Core::monotonicNow());
+        bool const isComplete = co_await readBody(request, *connection);
+        if (verdict == AnswerVerdict::Foreign && isComplete && !request.streaming)
+            continue;
+        if (request.streaming && verdict == AnswerVerdict::Deliver && !request.stopSignal.reason()) {
+            request.streaming = connection;
+            co_return verdict;
+        }
+        request.streaming = nullptr;
+        if (connection->isSending()) {
+            // The target answered before it had read the body; the connection cannot carry another request.
+            connection->close();
+            co_await connection->waitForSender();
+        }
+        if (!isComplete || verdict == AnswerVerdict::Foreign) {
+            m_pool.discard(connection, false);
+            co_return verdict == AnswerVerdict::NotRun || verdict == AnswerVerdict::OtherTarget
+                ? verdict
+                : AnswerVerdict::Invalid;
+        }
+        m_pool.giveBack(connection, Core::monotonicNow());
+        co_return verdict;
+    }
+    m_pool.discard(connection, false);
+    co_return AnswerVerdict::Invalid;
+}
+
+awaitable<bool> TargetExchange::readBody(EntryRequest& request, ClientConnection& connection)
+{
+    auto& body = request.responseBody;
+    body.clear();
+    while (true) {
+        auto const offset = body.size();
+        body.resize(offset + pieceSize);
+        auto const size = co_await connection.readBody(std::span(body).subspan(offset));
+        body.resize(offset + (isError(size) ? 0 : valueOf(size)));
+        if (isError(size))
+            co_return false;
+        if (valueOf(size) == 0)
+            co_return true;
+        if (body.size() > maxKeptResponse) {
+            request.streaming = connection.shared_from_this();
+            co_return true;
+        }
+    }
+}
+
+}
--- /dev/null
+++ b/Services/comfreysaild/TargetSelector.cpp
@@ -0,0 +1,173 @@
+#include "TargetSelector.h"
+
+#include <algorithm>
+#include <platform/Platform.h>
+
+namespace Comfreysail::Daemon {
+
+using Core::Error;
+using Core::ErrorKind;
+using Core::Instant;
+using Core::Result;
+using HTTP::awaitable;
+using Traffic::RegisteredTarget;
+using namespace std::chrono_literals;
+
+namespace {
+
+// One round of questions to targets; an answer takes one or two round trips inside a region.
+constexpr auto longestAsk = 40ms;
+// VMs that were added and are not in the list of members yet, at most.
+constexpr unsigned daemonsNotYetMembers = 4;
+
+void logChoice(EntryRequest const& request, Traffic::PlacementRequest const& placement, Traffic::Choice const& choice,
+    size_t asked)
+{
+    auto const& load = *choice.target->load;
+    Telemetry::EventLine("target_chosen")
+        .add("request_id", request.requestId)
+        .add("target", choice.target->target.id)
+        .add("availability_zone", choice.target->target.availabilityZone)
+        .add("version", choice.target->target.version)
+        .add("cost", choice.cost)
+        .add("running", load.running)
+        .add("waiting", load.waiting)
+        .add("slots", load.slots)
+        .add("slowness", load.slowness)
+        .add("sent_since_report", choice.target->sentSinceLoad)
+        .add("asked", asked)
+        .add("late", placement.isLate)
+        .logInfo();
+}
+
+/// Why none of the targets was chosen, for the log.
+std::string describeTargets(std::vector<Traffic::TargetRecord const*> const& eligible, size_t asked, Instant now)
+{
+    size_t cold = 0;
+    size_t full = 0;
+    for (auto const* record : eligible) {
+        cold += now < record->coldUntil ? 1 : 0;
+        full += record->load && record->load->running + record->load->waiting >= record->load->slots ? 1 : 0;
+    }
+    return "asked " + std::to_string(asked) + " of " + std::to_string(eligible.size()) + ", cold "
+        + std::to_string(cold) + ", full " + std::to_string(full);
+}
+
+}
+
+TargetSelector::TargetSelector(LoadAsker& asker, EntryState& state, std::string vmName, std::string ownZone)
+    : m_asker(asker)
+    , m_state(state)
+    , m_vmName(std::move(vmName))
+    , m_ownZone(std::move(ownZone))
+{
+}
+
+awaitable<Result<RegisteredTarget>> TargetSelector::select(EntryRequest& request)
+{
+    auto const placement = placementOf(request);
+    auto const& plan = *request.plan;
+    auto const service = plan.services.find(request.service);
+    if (service == plan.services.end())
+        co_return Error { ErrorKind::NoTargetAvailable, "the service is not in the settings" };
+    if (m_state.servicesWithoutLoad.contains(request.service)) {
+        auto const* const target
+            = Traffic::lessBusyOfTwo(eligibleTargets(request), placement, m_generator(), Core::monotonicNow());
+        if (target)
+            co_return target->target;
+        co_return Error { ErrorKind::NoTargetAvailable, {} };
+    }
+    auto selected = co_await askAndChoose(request, service->second.healthPath, placement);
+    if (isError(selected) && !request.stopSignal.reason()) {
+        if (auto const cold = coldTarget(request))
+            co_return *cold;
+    }
+    co_return selected;
+}
+
+std::optional<RegisteredTarget> TargetSelector::coldTarget(EntryRequest const& request)
+{
+    auto const now = Core::monotonicNow();
+    auto const eligible = eligibleTargets(request);
+    bool const areAllCold
+        = std::ranges::all_of(eligible, [now](auto const* record) { return now < record->coldUntil; });
+    if (!areAllCold)
+        return std::nullopt;
+    auto const service = request.plan->services.find(request.service);
+    auto const members = m_state.sharedRows.table(Platform::Table::members).size();
+    for (auto const* record : eligible) {
+        auto const& id = record->target.id;
+        bool const wasTried = std::ranges::find(request.triedTargets, id) != request.triedTargets.end();
+        if (!wasTried
+            && m_state.coldSends.tryTake(id, service->second.coldRequestsPerSecond,
+                static_cast<unsigned>(members) + daemonsNotYetMembers,
+                std::uniform_real_distribution<double>(0, 1)(m_generator), now))
+            return record->target;
+    }
+    return std::nullopt;
+}
+
+Traffic::PlacementRequest TargetSelector::placementOf(EntryRequest const& request)
+{
+    Traffic::PlacementRequest placement;
+    placement.ownZone = m_ownZone;
+    placement.isDownload = request.route->isDownload;
+    placement.excludedTargets = request.triedTargets;
+    auto const found = m_state.serviceTimes.find(request.route->name);
+    auto const waited = request.waitedBefore + (Core::monotonicNow() - request.arrivedAt);
+    auto const usual = found == m_state.serviceTimes.end() ? Core::Duration {} : found->second.usual();
+    // Without a latency target there is no time within which the response has to be there.
+    bool const hasLatencyTarget = request.route->latencyTarget.count() > 0;
+    placement.isLate = hasLatencyTarget && waited + usual > request.route->latencyTarget;
+    bool const mayWait = m_state.waitingWorth[request.route->name].pays(request.uniform);
+    if (found != m_state.serviceTimes.end() && mayWait) {
+        placement.maxCostWithWaiting = found->second.costWithin(request.route->latencyTarget - waited);
+    }
+    return placement;
+}
+
+awaitable<Result<RegisteredTarget>> TargetSelector::askAndChoose(
+    EntryRequest& request, std::string const& healthPath, Traffic::PlacementRequest const& placement)
+{
+    Traffic::PlacementOptions const options;
+    auto const eligibleNow = [&] { return eligibleTargets(request); };
+    auto const best = [&] { return Traffic::bestTarget(eligibleNow(), placement, options, Core::monotonicNow()); };
+    auto const isGood = [&] {
+        auto const choice = best();
+        return choice && choice->cost <= options.goodEnoughCost;
+    };
+    std::vector<std::string> asked;
+    for (unsigned round = 0; round < options.maxRounds; ++round) {
+        auto const toAsk = Traffic::targetsToAsk(eligibleNow(), placement, asked, options, m_generator());
+        if (toAsk.empty())
+            break;
+        std::vector<std::string> ids;
+        for (auto const* record : toAsk)
+            ids.push_back(record->target.id);
+        asked.insert(asked.end(), ids.begin(), ids.end());
+        co_await m_asker.ask(ids, healthPath, longestAsk, isGood);
+        if (request.stopSignal.reason())
+            co_return Error { *request.stopSignal.reason(), {} };
+        if (isGood())
+            break;
+    }
+    auto const choice = best();
+    if (choice) {
+        logChoice(request, placement, *choice, asked.size());
+        request.expectedCost = choice->cost;
+        request.waitsAtTarget = choice->isWaiting;
+        co_return choice->target->target;
+    }
+    co_return Error { ErrorKind::NoTargetAvailable,
+        describeTargets(eligibleNow(), asked.size(), Core::monotonicNow()) };
+}
+
+std::vector<Traffic::TargetRecord const*> TargetSelector::eligibleTargets(EntryRequest const& request) const
+{
+    auto const now = Core::monotonicNow();
+    auto const version = allowedVersion(m_state, request.service, request.uniform, now);
+    auto eligible = m_state.directory.eligible(request.service, version, m_state.zonesOut, now);
+    return Traffic::targetsOfDaemon(std::move(eligible), m_vmName, {});
+}
+
+}
--- a/Tests/LibTraffic/TestMoveJudge.cpp
+++ b/Tests/LibTraffic/TestMoveJudge.cpp
@@ -1,5 +1,7 @@
 #include <LibTraffic/Traffic.h>
+#include <array>
 #include <catch2/catch.hpp>
+#include <optional>
 #include <random>
 
 using namespace Comfreysail;
@@ -18,34 +20,77 @@
     MoveOptions options;
 };
 
-}
+struct Trial {
+    VersionEvidence newVersion;
+    VersionEvidence oldVersion;
+    std::optional<Core::Duration> judgedAfter;
+    uint64_t total { 0 };
+};
 
-// A bad version must be found on the trial's share of the traffic, before all traffic goes to it.
-TEST_CASE_METHOD(MoveJudgeFixture, "Move_BadVersion_IsFoundDuringTheTrial")
+/// Plays the trial of a move over several daemons; the chances are those of a failed and of a slow response.
+Trial play(VersionMove const& move, MoveOptions const& options, int requestsPerSecond, double failed, double slow,
+    unsigned seed)
 {
-    auto const failureShare = GENERATE(0.3, 0.5, 1.0);
-    auto const requestsPerSecond = GENERATE(20, 65, 200);
-    std::mt19937 generator(7);
+    constexpr size_t daemons = 14;
+    constexpr double usuallyFailed = 0.004;
+    constexpr double usuallySlow = 0.12;
+    std::mt19937 generator(seed);
     std::uniform_real_distribution<double> uniform(0, 1);
-    VersionEvidence newVersion;
-    VersionEvidence oldVersion;
-    std::optional<Core::Duration> foundAfter;
-    uint64_t total = 0;
+    std::array<uint64_t, daemons> sent {};
+    Trial trial;
     auto const step = Core::Duration(1s) / requestsPerSecond;
-    for (auto since = Core::Duration {}; since < move.duration && !foundAfter; since += step) {
-        ++total;
-        bool const goesToNew = uniform(generator) < shareOfNewVersion(move, since, options);
-        auto& side = goesToNew ? newVersion : oldVersion;
+    for (Core::Duration since {}; isTrial(move, since, options) && !trial.judgedAfter; since += step) {
+        ++trial.total;
+        auto& ownSent = sent[generator() % daemons];
+        bool const goesToNew = uniform(generator) < shareOfNewVersion(move, since, ownSent, daemons, options);
+        ownSent += goesToNew ? 1 : 0;
+        auto& side = goesToNew ? trial.newVersion : trial.oldVersion;
         ++side.requests;
-        bool const isFailure = goesToNew ? uniform(generator) < failureShare : uniform(generator) < 0.004;
-        side.failures += isFailure ? 1 : 0;
-        if (isBad(newVersion, oldVersion, options))
-            foundAfter = since;
+        side.failures += uniform(generator) < (goesToNew ? failed : usuallyFailed) ? 1 : 0;
+        side.slow += uniform(generator) < (goesToNew ? slow : usuallySlow) ? 1 : 0;
+        if (isBad(trial.newVersion, trial.oldVersion, true, options))
+            trial.judgedAfter = since;
+    }
+    return trial;
+}
+
+struct BadVersion {
+    double failed;
+    double slow;
+};
+
+}
+
+// A bad version must be found on the trial's share of the traffic, before all traffic goes to it. On the users' bench
+// one that was slow in half of its requests had all traffic after 4 s of a move of 8.8 s (own day bad-versions, seed
+// 651239985346: 182 requests, 114 allowed).
+TEST_CASE_METHOD(MoveJudgeFixture, "Move_BadVersion_IsFoundDuringTheTrial")
+{
+    move.duration = GENERATE(as<Core::Duration> {}, 8770ms, 16s);
+    auto const version = GENERATE(values<BadVersion>(
+        { { 0.3, 0.12 }, { 0.5, 0.12 }, { 1.0, 0.12 }, { 0.004, 0.5 }, { 0.004, 0.6 }, { 0.004, 1.0 } }));
+    auto const requestsPerSecond = GENERATE(65, 200);
+    unsigned found = 0;
+    constexpr unsigned trials = 50;
+    for (unsigned seed = 1; seed <= trials; ++seed) {
+        auto const trial = play(move, options, requestsPerSecond, version.failed, version.slow, seed);
+        found += trial.judgedAfter ? 1 : 0;
+        CHECK(static_cast<double>(trial.newVersion.requests)
+            <= allowedShare * static_cast<double>(trial.total) + allowedSlack);
     }
-    CAPTURE(failureShare, requestsPerSecond, newVersion.requests, total);
-    REQUIRE(foundAfter);
-    CHECK(shareOfNewVersion(move, *foundAfter, options) < 1);
-    CHECK(static_cast<double>(newVersion.requests) <= allowedShare * static_cast<double>(total) + allowedSlack);
+    CAPTURE(move.duration.count(), version.failed, version.slow, requestsPerSecond, found);
+    CHECK(found >= trials - 1);
+}
+
+// A good version that is rolled back by chance misses its time.
+TEST_CASE_METHOD(MoveJudgeFixture, "Move_GoodVersion_IsSeldomRolledBackByChance")
+{
+    auto const requestsPerSecond = GENERATE(20, 65, 200);
+    unsigned judged = 0;
+    for (unsigned seed = 1; seed <= 200; ++seed)
+        judged += play(move, options, requestsPerSecond, 0.004, 0.12, seed).judgedAfter ? 1 : 0;
+    CAPTURE(requestsPerSecond, judged);
+    CHECK(judged <= 4);
 }
 
 TEST_CASE_METHOD(MoveJudgeFixture, "Move_GoodVersion_IsFinishedWithinItsTime")
@@ -54,14 +99,21 @@
     move.duration = duration;
     CHECK_FALSE(isFinished(move, 0s, options));
     CHECK(isFinished(move, duration - 500ms, options));
-    CHECK(shareOfNewVersion(move, duration - options.settleTime, options) == 1);
+    CHECK(shareOfNewVersion(move, duration - options.settleTime, 0, 1, options) == 1);
 }
 
 // Both versions are slow on the same day when the targets' VMs are; only the difference speaks against the new one.
 TEST_CASE_METHOD(MoveJudgeFixture, "Move_BothVersionsEquallyBad_IsNotRolledBack")
 {
-    CHECK_FALSE(isBad({ 100, 20, 60 }, { 1000, 200, 600 }, options));
-    CHECK(isBad({ 100, 40, 0 }, { 1000, 200, 0 }, options));
-    CHECK(isBad({ 100, 0, 95 }, { 1000, 0, 300 }, options));
-    CHECK_FALSE(isBad({ 100, 2, 0 }, { 1000, 0, 0 }, options));
+    CHECK_FALSE(isBad({ 100, 20, 60 }, { 1000, 200, 600 }, true, options));
+    CHECK(isBad({ 100, 40, 0 }, { 1000, 200, 0 }, true, options));
+    CHECK(isBad({ 100, 0, 95 }, { 1000, 0, 300 }, true, options));
+    CHECK_FALSE(isBad({ 100, 2, 0 }, { 1000, 0, 0 }, true, options));
+}
+
+// After the trial the new version has all the load; slower responses alone may be the load's fault.
+TEST_CASE_METHOD(MoveJudgeFixture, "Move_SlowerUnderTheWholeLoad_IsNotRolledBack")
+{
+    CHECK(isBad({ 300, 0, 150 }, { 1000, 0, 120 }, true, options));
+    CHECK_FALSE(isBad({ 300, 0, 150 }, { 1000, 0, 120 }, false, options));
 }
