comfreysaild: Keep asking targets after one answer without a load

Cause: found by reading: one answer to a load question without the field switched a service to own counts for good, its first request was refused, and one caller with a much longer time limit made all others of its route look late.

Change: any report of a load takes the service back; without reports the less busy of two is used at once. The time limit of a route's callers falls slowly toward what is seen.

Measured: Entry_OneAnswerWithoutLoad_DoesNotEndTheQuestions and TimeLimit_OneLongLimit_IsForgotten pass; both were written with the change and not seen to fail.

--- a/Libraries/LibTraffic/Traffic.h
+++ b/Libraries/LibTraffic/Traffic.h
@@ -16,6 +16,7 @@
 #include <LibTraffic/TargetDirectory.h>
 #include <LibTraffic/TargetLoad.h>
 #include <LibTraffic/TargetRecord.h>
+#include <LibTraffic/TimeLimit.h>
 #include <LibTraffic/TrafficPlan.h>
 #include <LibTraffic/VersionMove.h>
 #include <LibTraffic/WaitingWorth.h>
--- a/Services/comfreysaild/EntryHandler.cpp
+++ b/Services/comfreysaild/EntryHandler.cpp
@@ -101,9 +101,7 @@
     request.uniform = uniform();
     request.service = Traffic::chooseService(*request.route, uniform());
     auto const left = timeLeft(head);
-    auto& longestLeft = m_state.longestTimeLeft[request.route->name];
-    longestLeft = std::max(longestLeft, left);
-    request.waitedBefore = longestLeft - left;
+    request.waitedBefore = m_state.timeLimits[request.route->name].note(left);
     request.deadline = request.arrivedAt + std::min(left, request.route->timeout);
     request.deadlineWatchdog->arm(
         request.deadline, [&request] { request.stopSignal.stop(ErrorKind::DeadlineExceeded); });
--- a/Services/comfreysaild/EntryState.h
+++ b/Services/comfreysaild/EntryState.h
@@ -41,8 +41,7 @@
     bool hasReadTargets { false };
     Traffic::RetryAllowance retries;
     Traffic::ColdAllowance coldSends;
-    /// Longest time that a caller had left, by route: that of a first try.
-    std::map<std::string, Core::Duration, std::less<>> longestTimeLeft;
+    std::map<std::string, Traffic::TimeLimit, std::less<>> timeLimits;      ///< Of the callers, by route.
     std::map<std::string, Traffic::ServiceTime, std::less<>> serviceTimes;  ///< By route.
     std::map<std::string, Traffic::WaitingWorth, std::less<>> waitingWorth; ///< By route.
     std::set<std::string, std::less<>> servicesWithoutLoad;                 ///< Their targets do not tell their load.
--- a/Services/comfreysaild/LoadAsker.cpp
+++ b/Services/comfreysaild/LoadAsker.cpp
@@ -111,9 +111,10 @@
     if (auto const cold = wholeNumber(head.fields.find(names.coldMilliseconds)))
         directory.noteCold(target.id, std::chrono::milliseconds(*cold), now);
     auto const load = Traffic::parseTargetLoad(head.fields.find(names.load).value_or(""));
-    if (load)
+    if (load) {
         directory.noteLoad(target.id, *load, now);
-    else
+        m_state.servicesWithoutLoad.erase(target.service);
+    } else
         m_state.servicesWithoutLoad.insert(target.service);
 }
 
--- a/Services/comfreysaild/TargetExchange.cpp
+++ b/Services/comfreysaild/TargetExchange.cpp
@@ -123,8 +123,11 @@
         request.response = takeValue(std::move(head));
         auto const verdict = Traffic::judgeAnswer(factsOf(request, *request.response));
         auto const load = request.response->fields.find(Platform::headerNames().load);
-        if (auto const parsed = Traffic::parseTargetLoad(load.value_or("")))
+        if (auto const parsed = Traffic::parseTargetLoad(load.value_or(""))) {
             m_state.directory.noteLoad(target.id, *parsed, Core::monotonicNow());
+            // One answer without the field, such as a damaged one, must not end the questions for good.
+            m_state.servicesWithoutLoad.erase(target.service);
+        }
         bool const isComplete = co_await readBody(request, *connection);
         if (verdict == AnswerVerdict::Foreign && isComplete && !request.streaming)
             continue;
--- a/Services/comfreysaild/TargetSelector.cpp
+++ b/Services/comfreysaild/TargetSelector.cpp
@@ -70,18 +70,20 @@
     auto const service = plan.services.find(request.service);
     if (service == plan.services.end())
         co_return Error { ErrorKind::NoTargetAvailable, "the service is not in the settings" };
+    Result<RegisteredTarget> selected = Error { ErrorKind::NoTargetAvailable, {} };
+    if (!m_state.servicesWithoutLoad.contains(request.service))
+        selected = co_await askAndChoose(request, service->second.healthPath, placement);
+    if (!isError(selected) || request.stopSignal.reason())
+        co_return selected;
+    // Known before, or learnt by the questions just asked.
     if (m_state.servicesWithoutLoad.contains(request.service)) {
         auto const* const target
             = Traffic::lessBusyOfTwo(eligibleTargets(request), placement, m_generator(), Core::monotonicNow());
         if (target)
             co_return target->target;
-        co_return Error { ErrorKind::NoTargetAvailable, {} };
-    }
-    auto selected = co_await askAndChoose(request, service->second.healthPath, placement);
-    if (isError(selected) && !request.stopSignal.reason()) {
-        if (auto const cold = coldTarget(request))
-            co_return *cold;
     }
+    if (auto const cold = coldTarget(request))
+        co_return *cold;
     co_return selected;
 }
 
--- a/Tests/LibTraffic/TestPlacement.cpp
+++ b/Tests/LibTraffic/TestPlacement.cpp
@@ -174,3 +174,18 @@
     CHECK(time.usual() == 100ms);
     CHECK(time.costWithin(250ms) == Approx(2.5));
 }
+
+// A request that was refused before comes back with less time left; a fresh one must not look like that for good
+// because one caller had a much longer limit.
+TEST_CASE("TimeLimit_OneLongLimit_IsForgotten")
+{
+    TimeLimit limit;
+    CHECK(limit.note(2s) == 0s);
+    CHECK(limit.note(1500ms) > 450ms);
+    CHECK(limit.note(2s) == 0s);
+    CHECK(limit.note(1h) == 0s);
+    CHECK(limit.note(2s) > 50min);
+    for (int request = 0; request < 1000; ++request)
+        limit.note(2s);
+    CHECK(limit.note(2s) < 1ms);
+}
--- a/Tests/comfreysaild/TestEntryAnswers.cpp
+++ b/Tests/comfreysaild/TestEntryAnswers.cpp
@@ -261,3 +261,19 @@
         REQUIRE(call("GET", "/read/1").status() == 200);
     CHECK(std::chrono::steady_clock::now() - begin < 5s);
 }
+
+// Targets of some services do not tell their load. One answer without it, from a service whose targets do, must not end
+// the questions: the daemon would send to targets that are full.
+TEST_CASE_METHOD(EntryFixture, "Entry_OneAnswerWithoutLoad_DoesNotEndTheQuestions")
+{
+    auto& target = addTarget("t1", [](RawConnection& connection, std::string const& head) {
+        connection.send(wholeResponse("whole", fieldsOf(head) + "X-Comfreysail-Backend-Load: 1,0,2,100\r\n"));
+        return true;
+    });
+    target.load = "";
+    startDaemon();
+    CHECK(call("GET", "/read/1").status() == 200);
+    target.load = "2,4,2,100";
+    CHECK(call("GET", "/read/2").status() == 503);
+    CHECK(target.runs == 1);
+}
