LibTraffic: Do not take fresh requests for late ones

Its route's usual time under load was above its latency target, so each of its requests counted as late.

Change: at most 80 of 100 parts of the latency target are counted for the usual time; a refusal says when lateness decided.

--- a/Libraries/LibTraffic/Placement.cpp
+++ b/Libraries/LibTraffic/Placement.cpp
@@ -15,6 +15,8 @@
 constexpr double workUntilSlotIsFree = 0.7;
 // Targets that are nearly full slow down, so an idle target is better than one with a single free slot.
 constexpr double costOfBusySlots = 0.3;
+// Most of the latency target that the usual time may take up when a request is judged as late.
+constexpr int countedUsualPercent = 80;
 
 bool isExcluded(TargetRecord const& record, PlacementRequest const& request)
 {
@@ -33,6 +35,14 @@
 
 }
 
+bool isLate(Core::Duration waited, Core::Duration usual, Core::Duration latencyTarget)
+{
+    // Without a latency target there is no time within which the response has to be there.
+    if (latencyTarget.count() <= 0)
+        return false;
+    return waited + std::min(usual, latencyTarget * countedUsualPercent / 100) > latencyTarget;
+}
+
 std::optional<double> expectedCost(
     TargetRecord const& record, PlacementRequest const& request, PlacementOptions const& options)
 {
--- a/Libraries/LibTraffic/Placement.h
+++ b/Libraries/LibTraffic/Placement.h
@@ -45,6 +45,11 @@
     std::optional<double> maxCostWithWaiting;
 };
 
+/// True when a request whose caller has waited so long can hardly end within the latency target any more. `usual` is
+/// the usual time at a target. A request that has not waited is never late: where the usual time is above the latency
+/// target, all would be.
+bool isLate(Core::Duration waited, Core::Duration usual, Core::Duration latencyTarget);
+
 /// Expected time of a request at the target, as a multiple of its usual time without waiting. Nothing when the target
 /// has no room.
 std::optional<double> expectedCost(TargetRecord const&, PlacementRequest const&, PlacementOptions const&);
--- a/Services/comfreysaild/TargetSelector.cpp
+++ b/Services/comfreysaild/TargetSelector.cpp
@@ -118,9 +118,7 @@
     auto const found = m_state.serviceTimes.find(request.route->name);
     auto const waited = request.waitedBefore + (Core::monotonicNow() - request.arrivedAt);
     auto const usual = found == m_state.serviceTimes.end() ? Core::Duration {} : found->second.usual();
-    // Without a latency target there is no time within which the response has to be there.
-    bool const hasLatencyTarget = request.route->latencyTarget.count() > 0;
-    placement.isLate = hasLatencyTarget && waited + usual > request.route->latencyTarget;
+    placement.isLate = Traffic::isLate(waited, usual, request.route->latencyTarget);
     bool const mayWait = m_state.waitingWorth[request.route->name].pays(request.uniform);
     if (found != m_state.serviceTimes.end() && mayWait) {
         placement.maxCostWithWaiting = found->second.costWithin(request.route->latencyTarget - waited);
@@ -161,7 +159,7 @@
         co_return choice->target->target;
     }
     co_return Error { ErrorKind::NoTargetAvailable,
-        describeTargets(eligibleNow(), asked.size(), Core::monotonicNow()) };
+        describeTargets(eligibleNow(), asked.size(), Core::monotonicNow()) + (placement.isLate ? ", late" : "") };
 }
 
 std::vector<Traffic::TargetRecord const*> TargetSelector::eligibleTargets(EntryRequest const& request) const
--- a/Tests/LibTraffic/TestPlacement.cpp
+++ b/Tests/LibTraffic/TestPlacement.cpp
@@ -189,3 +189,15 @@
         limit.note(2s);
     CHECK(limit.note(2s) < 1ms);
 }
+
+// Where the usual time rose above the latency target, every request counted as late and needed room at two fifths of
+// the targets: a fresh order was refused with 2 of 9 targets free (request b16debba96faf0a7, jtsu-gateway trouble-3).
+TEST_CASE("IsLate_UsualTimeAboveTheTarget_FreshRequestIsNotLate")
+{
+    CHECK_FALSE(isLate(0ms, 500ms, 400ms));
+    CHECK_FALSE(isLate(50ms, 500ms, 400ms));
+    CHECK(isLate(100ms, 500ms, 400ms));
+    CHECK_FALSE(isLate(200ms, 100ms, 400ms));
+    CHECK(isLate(301ms, 100ms, 400ms));
+    CHECK_FALSE(isLate(10s, 100ms, 0ms));
+}
