comfreysaild: Count only new readings of the registry

Cause: found by reading: daemons adopted the targets again with each answer of another daemon, also with a stale one, so the directory did not notice that the registry was away, and targets whose registration had expired meanwhile were dropped at its return instead of being kept for 2 s.

Ruled out: the directory, whose own test passes.

Change: targets are adopted only from a reading that is newer by more than the jitter of its told age.

Measured: Entry_RegistrationsExpireWhileTheStoreIsAway_TargetsStayInUse: 20 of 24 checks failed before, all pass after.

--- a/Services/comfreysaild/StoreFollower.cpp
+++ b/Services/comfreysaild/StoreFollower.cpp
@@ -20,6 +20,8 @@
 constexpr auto membersInterval = 2s;
 constexpr auto registrationInterval = 3s;
 constexpr auto pauseAfterFailure = 100ms;
+// The age of a reading is told in milliseconds and measured anew with each answer; two readings lie further apart.
+constexpr auto readingJitter = 200ms;
 // Daemons that start together with their seeds let these read the store first. Each tenth of a second without rows
 // refuses requests, so it is short.
 constexpr auto seedLead = 150ms;
@@ -82,9 +84,11 @@
 void StoreFollower::adoptRows()
 {
     bool const hasTargets = m_state.sharedRows.revisionOf(Platform::Table::targets) > 0;
-    // Also without a change: the directory counts how long the registry was not read.
-    if (hasTargets)
+    // Also without a change, but only for a newer reading: the directory counts how long the registry was not read.
+    if (hasTargets && m_state.rowsReadAt - m_adoptedReadingAt > readingJitter) {
+        m_adoptedReadingAt = m_state.rowsReadAt;
         m_adopter.adoptTargets(Core::monotonicNow());
+    }
     if (m_adoptedVersion == m_state.sharedRows.version())
         return;
     m_adoptedVersion = m_state.sharedRows.version();
--- a/Services/comfreysaild/StoreFollower.h
+++ b/Services/comfreysaild/StoreFollower.h
@@ -44,6 +44,7 @@
     Core::Instant m_storeTriedAt {};
     Core::Duration m_storeRetry {};
     uint64_t m_adoptedVersion { 0 };
+    Core::Instant m_adoptedReadingAt {}; ///< Reading of the store that the adopted targets are from.
 };
 
 }
--- a/Tests/comfreysaild/TestEntryBeliefs.cpp
+++ b/Tests/comfreysaild/TestEntryBeliefs.cpp
@@ -89,6 +89,30 @@
     CHECK(daemon().admin("/ready").status() == 200);
 }
 
+// Registrations expire while the store is away and are back within 2 s of its return. Until then the targets must stay
+// in use, also at daemons that others tell; stale answers of these counted as readings, so that nothing seemed to be
+// missed.
+TEST_CASE_METHOD(EntryFixture, "Entry_RegistrationsExpireWhileTheStoreIsAway_TargetsStayInUse")
+{
+    addTarget("t1", answerWhole);
+    startDaemon();
+    DaemonOptions options;
+    options.vmName = "entry-2";
+    auto& second = startDaemon(options);
+    std::this_thread::sleep_for(5s); // Both are members and know each other.
+    setFaults(R"({"mode":"busy"})");
+    std::this_thread::sleep_for(4s);
+    removeTarget("t1");
+    setFaults(R"({"mode":"up"})");
+    for (int count = 0; count < 12; ++count) {
+        CHECK(call("GET", "/read/1").status() == 200);
+        auto connection = second.connect();
+        connection.send(requestText("GET", "/read/1", "b" + std::to_string(count)));
+        CHECK(connection.readResponse().status() == 200);
+        std::this_thread::sleep_for(100ms);
+    }
+}
+
 // A store may turn some VMs away and serve the others; these learn from the others what is in force.
 TEST_CASE_METHOD(EntryFixture, "Entry_DaemonThatTheStoreTurnsAway_IsToldByAnother")
 {
