Tests: Start a daemon again when its port was taken meanwhile

Cause: DaemonProcess chooses the control and peer ports by binding and closing them. Beside 24 to 48 other test processes another one sometimes took a port before the daemon bound it: 4 of 600 runs of one case at 48 in parallel ended with 'Address already in use'. These runs show that only the start fails. Change: the daemon is started again with new ports, until the same deadline as before. Nothing that a test checks changes.

--- a/Tests/Support/DaemonProcess.cpp
+++ b/Tests/Support/DaemonProcess.cpp
@@ -125,9 +125,31 @@
 
 DaemonProcess::DaemonProcess(DaemonOptions const& options)
     : m_folder(makeTemporaryFolder())
-    , m_controlPort(freePort())
 {
     std::ofstream(m_folder / "tree.toml") << treeText(options);
+    auto const deadline = std::chrono::steady_clock::now() + startTimeout;
+    start(options);
+    while (!options.logsIntoFullPipe && !waitForLog(deadline)) {
+        // Another process has taken a port between freePort() and the start of the daemon.
+        std::filesystem::remove(m_folder / "log");
+        start(options);
+    }
+    if (!options.logsIntoFullPipe) {
+        m_callerPort = portFromLog("caller_port=");
+        if (!options.platformPort)
+            m_peerPort = portFromLog("peer_port=");
+        m_adminPort = portFromLog("admin_port=");
+    }
+    while (options.waitsUntilReady && admin("/ready").status() != 200) {
+        if (std::chrono::steady_clock::now() > deadline)
+            throw std::runtime_error("comfreysaild is not ready: " + log());
+        std::this_thread::sleep_for(pollInterval);
+    }
+}
+
+void DaemonProcess::start(DaemonOptions const& options)
+{
+    m_controlPort = freePort();
     // The ports cannot be read from the log in this case, so they are chosen in advance.
     if (options.logsIntoFullPipe) {
         m_callerPort = freePort();
@@ -141,31 +163,25 @@
         writingEnd = ends[1];
     }
     m_process = startProgram({ "--settings", (m_folder / "daemon.toml").string() }, m_folder / "log", writingEnd);
-    auto const deadline = std::chrono::steady_clock::now() + startTimeout;
     if (options.logsIntoFullPipe) {
         ::close(writingEnd);
         std::this_thread::sleep_for(std::chrono::seconds(1));
-    } else {
-        waitForLog(deadline);
-        m_callerPort = portFromLog("caller_port=");
-        if (!options.platformPort)
-            m_peerPort = portFromLog("peer_port=");
-        m_adminPort = portFromLog("admin_port=");
-    }
-    while (options.waitsUntilReady && admin("/ready").status() != 200) {
-        if (std::chrono::steady_clock::now() > deadline)
-            throw std::runtime_error("comfreysaild is not ready: " + log());
-        std::this_thread::sleep_for(pollInterval);
     }
 }
 
-void DaemonProcess::waitForLog(std::chrono::steady_clock::time_point deadline) const
+bool DaemonProcess::waitForLog(std::chrono::steady_clock::time_point deadline)
 {
     while (log().find("event=started") == std::string::npos || !log().ends_with("\n")) {
-        if (std::chrono::steady_clock::now() > deadline || ::waitpid(m_process, nullptr, WNOHANG) != 0)
+        bool const hasEnded = ::waitpid(m_process, nullptr, WNOHANG) != 0;
+        if (hasEnded)
+            m_process = -1;
+        if (hasEnded && log().find("Address already in use") != std::string::npos)
+            return false;
+        if (std::chrono::steady_clock::now() > deadline || hasEnded)
             throw std::runtime_error("comfreysaild did not start: " + log());
         std::this_thread::sleep_for(pollInterval);
     }
+    return true;
 }
 
 void DaemonProcess::kill()
--- a/Tests/Support/DaemonProcess.h
+++ b/Tests/Support/DaemonProcess.h
@@ -63,12 +63,14 @@
 private:
     uint16_t portFromLog(std::string const& key) const;
 
-    void waitForLog(std::chrono::steady_clock::time_point deadline) const;
+    void start(DaemonOptions const&);
+    /// Waits until the daemon has started. Returns false if it has ended because one of its ports was in use.
+    bool waitForLog(std::chrono::steady_clock::time_point deadline);
 
     std::filesystem::path m_folder;
     int m_fullPipe { -1 }; ///< Read end of the log pipe; nothing is read from it.
     int m_process { -1 };
-    uint16_t m_controlPort;
+    uint16_t m_controlPort { 0 };
     uint16_t m_callerPort { 0 };
     uint16_t m_peerPort { 0 };
     uint16_t m_adminPort { 0 };
