comfreysaild: Answer POST /settings once the settings are in force

Cause: pushSettings() compared revisions on the calling thread and only posted the adoption to the control plane's strand, so the answer 'is in force' could come before it was. Seen in 1 of 120 runs of Admin_PushedSettings_AreAdoptedWhenNewerAndValid. Change: comparison and adoption run on the strand in one step, and the request's coroutine resumes after it. No thread is blocked. TestControlPlane now also checks the revision right after the push.

--- a/Services/comfreysaild/AdminHandler.cpp
+++ b/Services/comfreysaild/AdminHandler.cpp
@@ -96,7 +96,7 @@
     if (!toml)
         co_return errorResponse({ Core::ErrorKind::InvalidSettings, "the body has no field \"toml\"" });
     auto const adopted
-        = m_services.controlPlane.pushSettings(revision.revision, revision.changeId, revision.hash, *toml);
+        = co_await m_services.controlPlane.pushSettings(revision.revision, revision.changeId, revision.hash, *toml);
     if (Core::isError(adopted))
         co_return errorResponse(Core::errorOf(adopted));
     co_return AdminResponse { 200, "revision " + std::to_string(Core::valueOf(adopted)) + " is in force\n" };
--- a/Services/comfreysaild/ControlPlane.cpp
+++ b/Services/comfreysaild/ControlPlane.cpp
@@ -83,7 +83,7 @@
     m_implementation->reportLoad(notice, recipients);
 }
 
-Core::Result<uint64_t> ControlPlane::pushSettings(
+HTTP::awaitable<Core::Result<uint64_t>> ControlPlane::pushSettings(
     uint64_t revision, std::string changeId, std::string hash, std::string toml)
 {
     return m_implementation->pushSettings({ revision, std::move(changeId), std::move(hash) }, std::move(toml));
--- a/Services/comfreysaild/ControlPlane.h
+++ b/Services/comfreysaild/ControlPlane.h
@@ -5,6 +5,7 @@
 #include "PeerMember.h"
 #include "VersionChoice.h"
 #include <LibCore/Core.h>
+#include <LibHTTP/Asio.h>
 #include <LibMoves/Observation.h>
 #include <cstdint>
 #include <functional>
@@ -87,9 +88,10 @@
     void reportLoad(LoadNotice const&, std::vector<std::string> const& recipients = {});
 
     /// Accepts settings that the operators' tool pushes while the store is down. They are adopted and offered to the
-    /// peers if their revision is higher. Returns the revision. Errors: InvalidSettings; RevisionConflict, with the
-    /// current revision, if theirs is not higher.
-    Core::Result<uint64_t> pushSettings(uint64_t revision, std::string changeId, std::string hash, std::string toml);
+    /// peers if their revision is higher. Returns the revision once it is in force. Errors: InvalidSettings;
+    /// RevisionConflict, with the current revision, if theirs is not higher.
+    HTTP::awaitable<Core::Result<uint64_t>> pushSettings(
+        uint64_t revision, std::string changeId, std::string hash, std::string toml);
 
     /// For /metrics and /status.
     std::string metricsText() const;
--- a/Services/comfreysaild/ControlPlaneImplementation.cpp
+++ b/Services/comfreysaild/ControlPlaneImplementation.cpp
@@ -1,5 +1,7 @@
 #include "ControlPlaneImplementation.h"
 #include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <glog/logging.h>
 #include <random>
 
@@ -203,26 +205,32 @@
     });
 }
 
-Core::Result<uint64_t> ControlPlane::Implementation::pushSettings(Settings::SettingsRevision revision, std::string toml)
+HTTP::awaitable<Core::Result<uint64_t>> ControlPlane::Implementation::pushSettings(
+    Settings::SettingsRevision revision, std::string toml)
 {
+    auto const self = shared_from_this();
     auto snapshot = Settings::makeSnapshot(std::move(revision), std::move(toml));
     if (Core::isError(snapshot))
-        return Core::errorOf(snapshot);
-    auto const current = view()->settings;
-    auto const currentRevision = current ? current->revision : Settings::SettingsRevision {};
+        co_return Core::errorOf(snapshot);
     auto const offered = Core::valueOf(snapshot).revision;
-    switch (Settings::adoptionOf(currentRevision, offered)) {
-    case Settings::Adoption::AlreadyInForce:
-        return offered.revision;
-    case Settings::Adoption::Older:
-    case Settings::Adoption::Contradiction:
-        return Core::Error { Core::ErrorKind::RevisionConflict,
-            "revision " + std::to_string(currentRevision.revision) + " is in force" };
-    case Settings::Adoption::Adopt:
-        break;
+    // The comparison and the adoption run on the strand in one step, so the answer describes the settings in force.
+    auto adoptOnStrand
+        = [self, snapshot = Core::takeValue(std::move(snapshot))]() mutable -> HTTP::awaitable<Settings::Adoption> {
+        auto const& current = self->m_settings;
+        auto const adoption
+            = Settings::adoptionOf(current ? current->revision : Settings::SettingsRevision {}, snapshot.revision);
+        if (adoption == Settings::Adoption::Adopt)
+            self->adopt(std::move(snapshot));
+        co_return adoption;
+    };
+    auto const adoption
+        = co_await boost::asio::co_spawn(m_strand, std::move(adoptOnStrand), boost::asio::use_awaitable);
+    if (adoption == Settings::Adoption::Older || adoption == Settings::Adoption::Contradiction) {
+        auto const settings = view()->settings;
+        co_return Core::Error { Core::ErrorKind::RevisionConflict,
+            "revision " + std::to_string(settings ? settings->revision.revision : 0) + " is in force" };
     }
-    post([this, snapshot = Core::takeValue(std::move(snapshot))]() mutable { adopt(std::move(snapshot)); });
-    return offered.revision;
+    co_return offered.revision;
 }
 
 void ControlPlane::Implementation::send(std::string const& endpoint, Wire::Body body)
--- a/Services/comfreysaild/ControlPlaneImplementation.h
+++ b/Services/comfreysaild/ControlPlaneImplementation.h
@@ -29,7 +29,7 @@
     void reportEvidence(Moves::Observation const&);
     void reportCrash(CrashNotice const&);
     void reportLoad(LoadNotice const&, std::vector<std::string> const& recipients);
-    Core::Result<uint64_t> pushSettings(Settings::SettingsRevision, std::string toml);
+    HTTP::awaitable<Core::Result<uint64_t>> pushSettings(Settings::SettingsRevision, std::string toml);
     Peers::TransportCounters counters() const { return m_transport.counters(); }
     uint64_t storeErrors() const { return m_storeErrors; }
 
--- a/Tests/ControlPlane/TestControlPlane.cpp
+++ b/Tests/ControlPlane/TestControlPlane.cpp
@@ -2,8 +2,10 @@
 #include <LibSettings/Settings.h>
 #include <LibStore/Store.h>
 #include <atomic>
+#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/use_future.hpp>
 #include <catch2/catch.hpp>
 #include <thread>
 #include <zmq.hpp>
@@ -150,13 +152,15 @@
 
     auto const push = [&](uint64_t revision) {
         auto const toml = tomlWith(static_cast<int>(1000 * revision));
-        return first.plane.pushSettings(
+        auto pushed = first.plane.pushSettings(
             revision, "change-" + std::to_string(revision), Settings::settingsHash(toml), toml);
+        return boost::asio::co_spawn(first.context, std::move(pushed), boost::asio::use_future).get();
     };
     auto const older = push(4);
     REQUIRE(Core::isError(older));
     CHECK(Core::errorOf(older).kind == Core::ErrorKind::RevisionConflict);
     CHECK_FALSE(Core::isError(push(6)));
+    CHECK(first.revision() == 6);
     CHECK(eventually([&] { return first.revision() == 6 && second.revision() == 6; }));
     // The store still holds revision 5 and is read every second.
     std::this_thread::sleep_for(1500ms);
