comfreysaild: Wait for load reports that are still out before refusing

Change: the probes of a request form one session. When no target has room, the selector asks again those whose report is outdated by own sends or age, and then waits for the answers that are still out, at most until the deadline. Before: Entry_LoadResponseAfterTheRound_IsWaitedFor and Entry_LoadResponsesArriveTogether_AllLookupsAreServed fail.

--- a/Libraries/LibTraffic/Placement.cpp
+++ b/Libraries/LibTraffic/Placement.cpp
@@ -103,6 +103,26 @@
     return candidates;
 }
 
+std::vector<DirectoryEntry const*> targetsToProbeAgain(std::vector<DirectoryEntry const*> const& eligible,
+    PlacementRequest const& request, std::vector<std::string> const& asked, PlacementOptions const& options,
+    Instant now)
+{
+    std::vector<DirectoryEntry const*> candidates;
+    for (auto const* record : eligible) {
+        bool const wasAsked = std::ranges::find(asked, record->target.id) != asked.end();
+        if (!wasAsked || isExcluded(*record, request) || now < record->coldUntil || !record->load)
+            continue;
+        auto const& load = *record->load;
+        bool const isOutdated = now - record->loadMeasuredAt > options.maxReportAge;
+        bool const hadRoom = load.running + load.waiting < load.slots;
+        if (isOutdated || (hadRoom && record->sentSinceLoad > 0))
+            candidates.push_back(record);
+    }
+    if (candidates.size() > options.targetsProbedPerRound)
+        candidates.resize(options.targetsProbedPerRound);
+    return candidates;
+}
+
 std::optional<TargetChoice> bestTarget(std::vector<DirectoryEntry const*> const& candidates,
     PlacementRequest const& request, PlacementOptions const& options, Instant now)
 {
--- a/Libraries/LibTraffic/Placement.h
+++ b/Libraries/LibTraffic/Placement.h
@@ -62,6 +62,11 @@
 std::vector<DirectoryEntry const*> targetsToProbe(std::vector<DirectoryEntry const*> const& eligible,
     PlacementRequest const&, std::vector<std::string> const& asked, PlacementOptions const&, uint64_t seed);
 
+/// Returns asked targets whose last load report no longer shows whether they have room: this daemon has sent them
+/// requests since, or the report is too old. At most as many as in one round.
+std::vector<DirectoryEntry const*> targetsToProbeAgain(std::vector<DirectoryEntry const*> const& eligible,
+    PlacementRequest const&, std::vector<std::string> const& asked, PlacementOptions const&, Core::Instant now);
+
 /// Returns the targets of a service that one daemon uses: all of them, or if there are too many, a subset chosen by
 /// hash. The subset stays the same, so that connections to its targets are used often enough to stay open.
 std::vector<DirectoryEntry const*> targetSubset(
--- a/Services/comfreysaild/EntryDaemon.cpp
+++ b/Services/comfreysaild/EntryDaemon.cpp
@@ -57,7 +57,7 @@
               m_settings.processorShare },
           m_settings.seeds, m_settings.isFirstStart)
     , m_prober(m_context, m_pool, m_state)
-    , m_handler(m_pool, m_prober, m_state, m_settings.vmName, m_settings.availabilityZone,
+    , m_handler(m_context, m_pool, m_prober, m_state, m_settings.vmName, m_settings.availabilityZone,
           [this](uint64_t fingerprint, std::string targetInstance) {
               asio::co_spawn(m_context, reportCrash(fingerprint, std::move(targetInstance)), asio::detached);
           })
--- a/Services/comfreysaild/LoadProber.cpp
+++ b/Services/comfreysaild/LoadProber.cpp
@@ -28,12 +28,27 @@
 
 }
 
-struct LoadProber::Round {
+struct LoadProber::Session::State {
     asio::steady_timer timer;
-    size_t pending;
     std::function<bool()> isSatisfied;
+    size_t pending { 0 }; ///< Probes of all rounds that have not ended.
+    size_t pendingInRound { 0 };
+    unsigned round { 0 };
+    bool waitsForAll { false }; ///< The wait lasts until the probes of all rounds have ended.
 };
 
+LoadProber::Session::Session(asio::io_context& context, std::function<bool()> isSatisfied)
+    : m_state(std::make_shared<State>(State { asio::steady_timer(context), std::move(isSatisfied) }))
+{
+}
+
+// `isSatisfied` refers to the request, which may end before the last probe does.
+LoadProber::Session::~Session() { m_state->isSatisfied = nullptr; }
+
+bool LoadProber::Session::hasPendingProbes() const { return m_state->pending > 0; }
+
+void LoadProber::Session::stopWaiting() { m_state->timer.cancel(); }
+
 LoadProber::LoadProber(asio::io_context& context, HTTP::ConnectionPool& pool, EntryState& state)
     : m_context(context)
     , m_pool(pool)
@@ -41,19 +56,32 @@
 {
 }
 
-awaitable<void> LoadProber::probe(std::vector<std::string> const& targets, std::string healthPath,
-    Core::Duration longestWait, std::function<bool()> isSatisfied)
+awaitable<void> LoadProber::probe(
+    Session& session, std::vector<std::string> const& targets, std::string healthPath, Core::Duration longestWait)
 {
-    auto const round = std::make_shared<Round>(
-        Round { asio::steady_timer(m_context, longestWait), targets.size(), std::move(isSatisfied) });
+    auto const state = session.m_state;
+    ++state->round;
+    state->pending += targets.size();
+    state->pendingInRound = targets.size();
+    state->waitsForAll = false;
+    state->timer.expires_after(longestWait);
     for (auto const& target : targets)
-        asio::co_spawn(m_context, probeOne(target, healthPath, round), asio::detached);
-    co_await round->timer.async_wait(HTTP::useTuple);
-    // `isSatisfied` refers to the request, which may end before the last probe does.
-    round->isSatisfied = nullptr;
+        asio::co_spawn(m_context, probeOne(target, healthPath, state, state->round), asio::detached);
+    co_await state->timer.async_wait(HTTP::useTuple);
+}
+
+awaitable<void> LoadProber::waitForPending(Session& session, Instant deadline)
+{
+    auto const state = session.m_state;
+    if (state->pending == 0)
+        co_return;
+    state->waitsForAll = true;
+    state->timer.expires_at(deadline);
+    co_await state->timer.async_wait(HTTP::useTuple);
 }
 
-awaitable<void> LoadProber::probeOne(std::string id, std::string healthPath, std::shared_ptr<Round> round)
+awaitable<void> LoadProber::probeOne(
+    std::string id, std::string healthPath, std::shared_ptr<Session::State> session, unsigned round)
 {
     if (auto const* const record = m_state.directory.find(id)) {
         auto const target = record->target;
@@ -70,9 +98,12 @@
                 m_state.directory.noteFault(id, Traffic::TargetFault::Unreachable, Core::monotonicNow());
         }
     }
-    --round->pending;
-    if (round->pending == 0 || (round->isSatisfied && round->isSatisfied()))
-        round->timer.cancel();
+    --session->pending;
+    if (round == session->round)
+        --session->pendingInRound;
+    auto const awaited = session->waitsForAll ? session->pending : session->pendingInRound;
+    if (awaited == 0 || (session->isSatisfied && session->isSatisfied()))
+        session->timer.cancel();
 }
 
 awaitable<bool> LoadProber::isResponding(Traffic::RegisteredTarget target, std::string healthPath)
--- a/Services/comfreysaild/LoadProber.h
+++ b/Services/comfreysaild/LoadProber.h
@@ -12,18 +12,39 @@
 public:
     LoadProber(boost::asio::io_context&, HTTP::ConnectionPool&, EntryState&);
 
-    /// Probes all targets concurrently. Returns once all probes have ended, `isSatisfied` returns true after one of
-    /// them, or `longestWait` has passed. Later responses are still recorded in the directory.
-    HTTP::awaitable<void> probe(std::vector<std::string> const& targets, std::string healthPath,
-        Core::Duration longestWait, std::function<bool()> isSatisfied);
+    /// The probes on behalf of one request.
+    class Session {
+    public:
+        /// `isSatisfied` is called after each probe and ends the wait when it returns true.
+        Session(boost::asio::io_context&, std::function<bool()> isSatisfied);
+        ~Session();
+        Session(Session const&) = delete;
+        Session& operator=(Session const&) = delete;
+
+        bool hasPendingProbes() const;
+        /// Ends a wait in probe() or waitForPending().
+        void stopWaiting();
+
+    private:
+        friend class LoadProber;
+        struct State;
+        std::shared_ptr<State> m_state; ///< Shared with the probes, which may outlive the request.
+    };
+
+    /// Probes all targets concurrently. Returns once these probes have ended, the session is satisfied, or
+    /// `longestWait` has passed. Later responses are still recorded in the directory.
+    HTTP::awaitable<void> probe(
+        Session&, std::vector<std::string> const& targets, std::string healthPath, Core::Duration longestWait);
+
+    /// Waits until all probes of the session have ended, the session is satisfied, or `deadline` has passed.
+    HTTP::awaitable<void> waitForPending(Session&, Core::Instant deadline);
 
     /// Probes the target on a new connection. True if it responds in time.
     HTTP::awaitable<bool> isResponding(Traffic::RegisteredTarget, std::string healthPath);
 
 private:
-    struct Round;
-
-    HTTP::awaitable<void> probeOne(std::string target, std::string healthPath, std::shared_ptr<Round>);
+    HTTP::awaitable<void> probeOne(
+        std::string target, std::string healthPath, std::shared_ptr<Session::State>, unsigned round);
     HTTP::awaitable<bool> exchange(std::shared_ptr<HTTP::ClientConnection>, Traffic::RegisteredTarget const&,
         std::string const& healthPath, Core::Instant deadline);
     void noteAnswer(Traffic::RegisteredTarget const&, HTTP::ResponseHead const&);
--- a/Services/comfreysaild/TargetSelector.cpp
+++ b/Services/comfreysaild/TargetSelector.cpp
@@ -55,8 +55,10 @@
 
 }
 
-TargetSelector::TargetSelector(LoadProber& prober, EntryState& state, std::string vmName, std::string ownZone)
-    : m_prober(prober)
+TargetSelector::TargetSelector(
+    boost::asio::io_context& context, LoadProber& prober, EntryState& state, std::string vmName, std::string ownZone)
+    : m_context(context)
+    , m_prober(prober)
     , m_state(state)
     , m_vmName(std::move(vmName))
     , m_ownZone(std::move(ownZone))
@@ -137,20 +139,34 @@
         return choice && choice->cost <= options.goodEnoughCost;
     };
     std::vector<std::string> probed;
+    LoadProber::Session session(m_context, isGoodEnough);
+    StopSignal::Scope const scope(request.stopSignal, [&session] { session.stopWaiting(); });
     for (unsigned round = 0; round < options.maxRounds; ++round) {
-        auto const toProbe = Traffic::targetsToProbe(eligibleNow(), placement, probed, options, m_generator());
-        if (toProbe.empty())
-            break;
+        auto toProbe = Traffic::targetsToProbe(eligibleNow(), placement, probed, options, m_generator());
+        // Requests that asked at the same time may have taken the room that the reports showed, although a target has
+        // ended other work since.
+        if (toProbe.empty() && !best() && !session.hasPendingProbes())
+            toProbe = Traffic::targetsToProbeAgain(eligibleNow(), placement, probed, options, Core::monotonicNow());
         std::vector<std::string> ids;
         for (auto const* record : toProbe)
             ids.push_back(record->target.id);
-        probed.insert(probed.end(), ids.begin(), ids.end());
-        co_await m_prober.probe(ids, healthPath, probeRoundTimeout, isGoodEnough);
+        if (!ids.empty()) {
+            probed.insert(probed.end(), ids.begin(), ids.end());
+            co_await m_prober.probe(session, ids, healthPath, probeRoundTimeout);
+        } else if (!best() && session.hasPendingProbes()) {
+            co_await m_prober.waitForPending(session, request.deadline);
+        } else {
+            break;
+        }
         if (request.stopSignal.reason())
             co_return Error { *request.stopSignal.reason(), {} };
         if (isGoodEnough())
             break;
     }
+    if (!best() && session.hasPendingProbes())
+        co_await m_prober.waitForPending(session, request.deadline);
+    if (request.stopSignal.reason())
+        co_return Error { *request.stopSignal.reason(), {} };
     auto const choice = best();
     if (choice) {
         logChoice(request, placement, *choice, probed.size());
--- a/Services/comfreysaild/TargetSelector.h
+++ b/Services/comfreysaild/TargetSelector.h
@@ -9,7 +9,7 @@
 /// Selects the target of one send. Probes some of the eligible targets for their load first.
 class TargetSelector {
 public:
-    TargetSelector(LoadProber&, EntryState&, std::string vmName, std::string ownZone);
+    TargetSelector(boost::asio::io_context&, LoadProber&, EntryState&, std::string vmName, std::string ownZone);
 
     /// Errors: NoTargetAvailable, or the reason of the request's stop signal.
     HTTP::awaitable<Core::Result<Traffic::RegisteredTarget>> select(EntryRequest&);
@@ -23,6 +23,7 @@
     /// If all eligible targets are cold, returns one whose rate limit for cold targets allows another request.
     std::optional<Traffic::RegisteredTarget> coldTarget(EntryRequest const&);
 
+    boost::asio::io_context& m_context;
     LoadProber& m_prober;
     EntryState& m_state;
     std::string m_vmName;
--- a/Tests/LibTraffic/TestPlacement.cpp
+++ b/Tests/LibTraffic/TestPlacement.cpp
@@ -204,3 +204,30 @@
     CHECK(isLate(301ms, 100ms, 400ms));
     CHECK_FALSE(isLate(10s, 100ms, 0ms));
 }
+
+// Three requests that ask a target with two slots at the same time: the first two take the room of the report, and the
+// third would be refused although the target may have ended other work.
+TEST_CASE_METHOD(PlacementFixture, "TargetsToProbeAgain_RoomTakenByOwnSends_IsAskedAgain")
+{
+    auto& taken = add("taken", { 0, 0, 2, 1 });
+    taken.sentSinceLoad = 2;
+    add("full", { 2, 0, 2, 1 });
+    add("free", { 0, 0, 2, 1 });
+    auto const again = targetsToProbeAgain(all, request, { "taken", "full", "free" }, options, now);
+    REQUIRE(again.size() == 1);
+    CHECK(again[0]->target.id == "taken");
+    CHECK(targetsToProbeAgain(all, request, {}, options, now).empty());
+}
+
+// A report that is processed late is too old to place a request, so the target has to be asked again.
+TEST_CASE_METHOD(PlacementFixture, "TargetsToProbeAgain_OutdatedReport_IsAskedAgain")
+{
+    add("late", { 0, 0, 2, 1 }).loadMeasuredAt = now - options.maxReportAge - 1ms;
+    add("cold", { 0, 0, 2, 1 }).loadMeasuredAt = now - options.maxReportAge - 1ms;
+    records.back().coldUntil = now + 1s;
+    add("tried", { 0, 0, 2, 1 }).loadMeasuredAt = now - options.maxReportAge - 1ms;
+    request.excludedTargets = { "tried" };
+    auto const again = targetsToProbeAgain(all, request, { "late", "cold", "tried" }, options, now);
+    REQUIRE(again.size() == 1);
+    CHECK(again[0]->target.id == "late");
+}
--- a/Tests/comfreysaild/EntryFixture.cpp
+++ b/Tests/comfreysaild/EntryFixture.cpp
@@ -27,6 +27,7 @@
         if (head.starts_with("GET /health ") && isDown)
             return false;
         if (head.starts_with("GET /health ")) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(loadDelayMilliseconds));
             connection.send(wholeResponse(
                 "", "X-Comfreysail-Instance-Id: " + this->id + "\r\nX-Comfreysail-Backend-Load: " + load + "\r\n"));
             return true;
--- a/Tests/comfreysaild/TestEntryResponses.cpp
+++ b/Tests/comfreysaild/TestEntryResponses.cpp
@@ -270,6 +270,37 @@
     CHECK(std::chrono::steady_clock::now() - begin < 2 * workTime);
 }
 
+// Guards against refusing a request while its only target is free: the response to the load probe came later than one
+// round of probes lasts.
+TEST_CASE_METHOD(EntryFixture, "Entry_LoadResponseAfterTheRound_IsWaitedFor")
+{
+    auto& target = addTarget("t1", respondComplete);
+    target.loadDelayMilliseconds = 120;
+    startDaemon();
+    for (unsigned index = 0; index < 5; ++index) {
+        CHECK(call("GET", "/read/1").status() == 200);
+        CHECK(call("POST", "/pay/1", "order").status() == 200);
+    }
+}
+
+// Guards against refusing the later ones of requests that ask a target at the same time: their load reports arrive
+// together, and the earlier requests take the room that these show.
+TEST_CASE_METHOD(EntryFixture, "Entry_LoadResponsesArriveTogether_AllLookupsAreServed")
+{
+    auto& target = addTarget("t1", respondComplete);
+    target.loadDelayMilliseconds = 20;
+    startDaemon();
+    for (unsigned round = 0; round < 10; ++round) {
+        auto connection = daemon().connect();
+        std::string requests;
+        for (auto const* id : { "a", "b", "c", "d" })
+            requests += requestText("GET", "/read/1", id + std::to_string(round));
+        connection.send(requests);
+        for (unsigned index = 0; index < 4; ++index)
+            CHECK(connection.readResponse().status() == 200);
+    }
+}
+
 // Guards against orders that run twice: the response before an order may close the connection, after which the caller
 // sends the order again.
 TEST_CASE_METHOD(EntryFixture, "Entry_OrderPipelinedBehindAClosingResponse_DoesNotRun")
