LibTraffic: Believe 'did not run' only of the request itself

Cause: a 421, or a response that states that its request did not run, was classified before its request id was looked at. A late second copy of such a response, on a connection that was in use again, made the daemon take a running order for one that had not run and send it to another target: it ran twice. Change: a response with another id is foreign whatever it states. Without an id it is believed only on a connection that carried nothing before, else the outcome is unknown (502). A connection that delivered a foreign response is closed afterwards. Changed checks: two cases of TestEntryResponses shed without an id on a used connection, which targets do not do; they now echo it, and both forms without an id are cases of their own that expect 502. Strictness is the same or higher.

--- a/Libraries/LibTraffic/ResponseVerdict.cpp
+++ b/Libraries/LibTraffic/ResponseVerdict.cpp
@@ -34,11 +34,17 @@
 
 ResponseVerdict classifyResponse(ResponseFacts const& facts)
 {
-    if (facts.status == misdirected)
-        return ResponseVerdict::OtherTarget;
-    if (facts.statesNotRun)
-        return ResponseVerdict::NotRun;
-    if (!facts.isForThisRequest)
+    if (facts.id == ResponseId::OfAnotherRequest)
+        return ResponseVerdict::Foreign;
+    bool const isMisdirected = facts.status == misdirected;
+    if (isMisdirected || facts.statesNotRun) {
+        // On a connection that was used before, a response without an id may be a late second copy of the response to
+        // an earlier exchange, while this request runs.
+        if (facts.id == ResponseId::None && facts.isConnectionReused)
+            return ResponseVerdict::Invalid;
+        return isMisdirected ? ResponseVerdict::OtherTarget : ResponseVerdict::NotRun;
+    }
+    if (facts.id == ResponseId::None)
         return ResponseVerdict::Foreign;
     bool const isSuccess = facts.status >= firstSuccess && facts.status < firstRedirect;
     if (isSuccess)
--- a/Libraries/LibTraffic/ResponseVerdict.h
+++ b/Libraries/LibTraffic/ResponseVerdict.h
@@ -6,13 +6,21 @@
 
 namespace Comfreysail::Traffic {
 
+/// Whose request id a response carries.
+enum class ResponseId : uint8_t {
+    OfThisRequest,
+    OfAnotherRequest,
+    None,
+};
+
 /// The properties of a target's response head that decide how the response is handled.
 struct ResponseFacts {
     unsigned status { 0 };
-    bool statesNotRun { false };     ///< The target states that it did not run the request.
-    bool hasSignature { false };     ///< The response carries the signature header of the target.
-    bool isForThisRequest { false }; ///< The response carries the id of this request.
-    bool isEncoded { false };        ///< The body has a Content-Encoding, so it is not the target's original body.
+    bool statesNotRun { false }; ///< The target states that it did not run the request.
+    bool hasSignature { false }; ///< The response carries the signature header of the target.
+    ResponseId id { ResponseId::None };
+    bool isEncoded { false };          ///< The body has a Content-Encoding, so it is not the target's original body.
+    bool isConnectionReused { false }; ///< The connection carried another exchange before.
 
     bool operator==(ResponseFacts const&) const = default;
 };
--- a/Services/comfreysaild/TargetExchange.cpp
+++ b/Services/comfreysaild/TargetExchange.cpp
@@ -40,15 +40,24 @@
     return head;
 }
 
-Traffic::ResponseFacts factsOf(EntryRequest const& request, HTTP::ResponseHead const& head)
+Traffic::ResponseId responseIdOf(HTTP::ResponseHead const& head, std::string_view requestId)
+{
+    auto const id = head.fields.find(Platform::headerNames().requestId);
+    if (!id)
+        return Traffic::ResponseId::None;
+    return *id == requestId ? Traffic::ResponseId::OfThisRequest : Traffic::ResponseId::OfAnotherRequest;
+}
+
+Traffic::ResponseFacts factsOf(EntryRequest const& request, HTTP::ResponseHead const& head, bool isConnectionReused)
 {
     auto const& names = Platform::headerNames();
     Traffic::ResponseFacts facts;
     facts.status = head.status;
     facts.statesNotRun = head.fields.contains(names.notRun);
     facts.hasSignature = head.fields.contains(names.signature);
-    facts.isForThisRequest = head.fields.find(names.requestId) == std::string_view(request.requestId);
+    facts.id = responseIdOf(head, request.requestId);
     facts.isEncoded = head.fields.contains("Content-Encoding");
+    facts.isConnectionReused = isConnectionReused;
     return facts;
 }
 
@@ -115,6 +124,7 @@
 awaitable<ResponseVerdict> TargetExchange::receive(
     EntryRequest& request, RegisteredTarget const& target, std::shared_ptr<ClientConnection> const& connection)
 {
+    bool const isConnectionReused = connection->lastResponseAt().has_value();
     for (unsigned foreign = 0; foreign < maxForeignResponses; ++foreign) {
         auto head = co_await connection->readHead(request.exchange.head().method);
         if (isError(head)) {
@@ -123,7 +133,7 @@
             co_return ResponseVerdict::Invalid;
         }
         request.response = takeValue(std::move(head));
-        auto const verdict = Traffic::classifyResponse(factsOf(request, *request.response));
+        auto const verdict = Traffic::classifyResponse(factsOf(request, *request.response, isConnectionReused));
         auto const load = request.response->fields.find(Platform::headerNames().load);
         if (auto const parsed = Traffic::parseTargetLoad(load.value_or(""))) {
             m_state.directory.noteLoad(target.id, *parsed, Core::monotonicNow());
@@ -149,7 +159,11 @@
                 ? verdict
                 : ResponseVerdict::Invalid;
         }
-        m_pool.release(connection, Core::monotonicNow());
+        // A target that sent a response to another request may send more of them.
+        if (foreign > 0)
+            m_pool.discard(connection, false);
+        else
+            m_pool.release(connection, Core::monotonicNow());
         co_return verdict;
     }
     m_pool.discard(connection, false);
--- a/Tests/comfreysaild/EntryFixture.cpp
+++ b/Tests/comfreysaild/EntryFixture.cpp
@@ -28,8 +28,9 @@
             return false;
         if (head.starts_with("GET /health ")) {
             std::this_thread::sleep_for(std::chrono::milliseconds(loadDelayMilliseconds));
-            connection.send(wholeResponse(
-                "", "X-Comfreysail-Instance-Id: " + this->id + "\r\nX-Comfreysail-Backend-Load: " + load + "\r\n"));
+            if (loadScript)
+                return loadScript(connection, head);
+            connection.send(loadResponse());
             return true;
         }
         ++runs;
@@ -37,6 +38,11 @@
     });
 }
 
+std::string EntryTarget::loadResponse() const
+{
+    return wholeResponse("", "X-Comfreysail-Instance-Id: " + id + "\r\nX-Comfreysail-Backend-Load: " + load + "\r\n");
+}
+
 EntryFixture::EntryFixture()
 {
     auto const line = m_platform.readLine();
--- a/Tests/comfreysaild/EntryFixture.h
+++ b/Tests/comfreysaild/EntryFixture.h
@@ -13,11 +13,15 @@
 struct EntryTarget {
     EntryTarget(std::string id, ScriptedTarget::Script);
 
+    /// The response to a load probe.
+    std::string loadResponse() const;
+
     std::string id;
     std::string load { "0,0,2,100" };
     std::atomic<unsigned> runs { 0 };                  ///< Requests other than load probes.
     std::atomic<bool> isDown { false };                ///< Does not respond to load probes.
     std::atomic<unsigned> loadDelayMilliseconds { 0 }; ///< Delay of the responses to load probes.
+    ScriptedTarget::Script loadScript;                 ///< If set, it responds to the load probes.
     ScriptedTarget::Script script;
     std::unique_ptr<ScriptedTarget> server;
 };
--- a/Tests/comfreysaild/TestEntryResponses.cpp
+++ b/Tests/comfreysaild/TestEntryResponses.cpp
@@ -13,6 +13,8 @@
     return "X-Comfreysail-Request-Id: " + id + "\r\nX-Comfreysail-Backend-Signature: s." + id + "\r\n";
 }
 
+std::string idField(std::string const& head) { return "X-Comfreysail-Request-Id: " + requestIdOf(head) + "\r\n"; }
+
 bool respondComplete(RawConnection& connection, std::string const& head)
 {
     connection.send(signedResponse(head, "whole"));
@@ -64,14 +66,24 @@
          }),
             502, 502, 502, 0 },
         { "not HTTP", respondWith([](std::string const&) { return "hello\r\n\r\n"; }, false), 502, 502, 502, 0 },
-        { "shed", respondWith([](std::string const&) {
-             return wholeResponse("", "X-Comfreysail-Not-Executed: 1\r\n", "503 Service Unavailable");
+        { "shed", respondWith([](std::string const& head) {
+             return wholeResponse("", idField(head) + "X-Comfreysail-Not-Executed: 1\r\n", "503 Service Unavailable");
          }),
             503, 503, 200, 1 },
-        { "other target at the address", respondWith([](std::string const&) {
-             return wholeResponse("", "X-Comfreysail-Instance-Id: other\r\n", "421 Misdirected Request");
+        { "other target at the address", respondWith([](std::string const& head) {
+             return wholeResponse(
+                 "", idField(head) + "X-Comfreysail-Instance-Id: other\r\n", "421 Misdirected Request");
          }),
             503, 503, 200, 1 },
+        // The load probe used the connection before, so the statement may be about an earlier request.
+        { "shed without a request id on a used connection", respondWith([](std::string const&) {
+             return wholeResponse("", "X-Comfreysail-Not-Executed: 1\r\n", "503 Service Unavailable");
+         }),
+            502, 502, 502, 0 },
+        { "other target without a request id on a used connection", respondWith([](std::string const&) {
+             return wholeResponse("", "X-Comfreysail-Instance-Id: other\r\n", "421 Misdirected Request");
+         }),
+            502, 502, 502, 0 },
         { "unavailable without saying that it did not run",
             respondWith([](std::string const& head) { return signedResponse(head, "", "503 Service Unavailable"); }),
             502, 502, 502, 0 },
@@ -91,7 +103,7 @@
 TEST_CASE_METHOD(EntryFixture, "Entry_EachResponseOfTheOnlyTarget_YieldsTheExpectedStatus")
 {
     auto const cases = responseCases();
-    auto const example = cases[GENERATE(range(0, 11))];
+    auto const example = cases[GENERATE(range(0, 13))];
     CAPTURE(example.name);
     auto& target = addTarget("t1", example.script);
     startDaemon();
@@ -111,7 +123,7 @@
 TEST_CASE_METHOD(EntryFixture, "Entry_OrderAtAFaultyTarget_RunsAtMostOnce")
 {
     auto const cases = responseCases();
-    auto const example = cases[GENERATE(range(0, 11))];
+    auto const example = cases[GENERATE(range(0, 13))];
     CAPTURE(example.name);
     auto& faulty = addTarget("t1", example.script);
     auto& other = addTarget("t2", respondComplete);
