comfreysaild: Bound responses that never end

Cause: responses to load probes and of other daemons were read into memory without a limit until their deadline, and a response body above 1 MiB was passed on until the caller left, without a time limit and without noticing a stall. Change: a response to a probe may have 16 KiB of body, one of another daemon 16 MiB. Streaming ends at the time limit that the caller stated, or after 30 s without progress; the caller's connection is reset, the target counts as unreachable. A response that carries a request id does not answer a probe. After: nine kinds of endless bytes, in responses to orders and to probes, end in time; the daemon grows by less than 8 MiB.

--- a/Services/comfreysaild/BufferedGet.cpp
+++ b/Services/comfreysaild/BufferedGet.cpp
@@ -1,6 +1,7 @@
 #include "BufferedGet.h"
 
 #include <boost/asio/this_coro.hpp>
+#include <platform/Platform.h>
 #include <vector>
 
 namespace Comfreysail::Daemon {
@@ -11,16 +12,16 @@
 
 constexpr size_t readBufferSize = size_t { 4 } * 1024;
 
-awaitable<std::optional<BufferedResponse>> readResponse(HTTP::ClientConnection& connection)
+awaitable<std::optional<BufferedResponse>> readResponse(HTTP::ClientConnection& connection, size_t maxBodyBytes)
 {
     auto head = co_await connection.readHead("GET");
-    if (isError(head))
+    if (isError(head) || valueOf(head).fields.contains(Platform::headerNames().requestId))
         co_return std::nullopt;
     BufferedResponse response { takeValue(std::move(head)), {} };
     std::vector<char> buffer(readBufferSize);
     while (true) {
         auto const size = co_await connection.readBody(buffer);
-        if (isError(size))
+        if (isError(size) || response.body.size() + valueOf(size) > maxBodyBytes)
             co_return std::nullopt;
         if (valueOf(size) == 0)
             co_return response;
@@ -31,7 +32,7 @@
 }
 
 awaitable<std::optional<BufferedResponse>> bufferedGet(HTTP::ConnectionPool& pool,
-    std::shared_ptr<HTTP::ClientConnection> connection, std::string target, Core::Instant deadline)
+    std::shared_ptr<HTTP::ClientConnection> connection, std::string target, size_t maxBodyBytes, Core::Instant deadline)
 {
     auto const executor = co_await HTTP::asio::this_coro::executor;
     auto const watchdog = HTTP::Watchdog::create(executor);
@@ -54,7 +55,7 @@
     }
     std::optional<BufferedResponse> response;
     if (!isError(result))
-        response = co_await readResponse(*connection);
+        response = co_await readResponse(*connection, maxBodyBytes);
     watchdog->disarm();
     if (response)
         pool.release(connection, Core::monotonicNow());
--- a/Services/comfreysaild/BufferedGet.h
+++ b/Services/comfreysaild/BufferedGet.h
@@ -12,8 +12,10 @@
 };
 
 /// Sends a GET request and reads the whole response into memory. Connects first if the connection is new. Returns
-/// std::nullopt if there is no complete response by the deadline. The connection is returned to the pool or closed.
-HTTP::awaitable<std::optional<BufferedResponse>> bufferedGet(
-    HTTP::ConnectionPool&, std::shared_ptr<HTTP::ClientConnection>, std::string target, Core::Instant deadline);
+/// std::nullopt if there is no complete response by the deadline, if its body is larger than `maxBodyBytes`, or if it
+/// carries a request id: such a response is a late one to a request that used the connection before. The connection is
+/// returned to the pool or closed.
+HTTP::awaitable<std::optional<BufferedResponse>> bufferedGet(HTTP::ConnectionPool&,
+    std::shared_ptr<HTTP::ClientConnection>, std::string target, size_t maxBodyBytes, Core::Instant deadline);
 
 }
--- a/Services/comfreysaild/EntryHandler.cpp
+++ b/Services/comfreysaild/EntryHandler.cpp
@@ -26,19 +26,22 @@
 // A retry with less time left would not reach the caller before its deadline.
 constexpr auto minTimeForRetry = 20ms;
 constexpr auto defaultTimeout = 30s;
+// A streamed response body that makes no progress for this long is given up.
+constexpr auto streamStallTimeout = 30s;
 // A crashing target closes its connections before its listening port; an earlier probe could still connect.
 constexpr auto crashProbeDelay = 30ms;
 // Range of the Retry-After header; a random value spreads the retries of refused callers.
 constexpr double minRetryAfterSeconds = 0.1;
 constexpr double maxRetryAfterSeconds = 0.4;
 
-Core::Duration timeLeft(HTTP::RequestHead const& head)
+/// The time that the caller will wait, or std::nullopt if it states none.
+std::optional<Core::Duration> timeLeft(HTTP::RequestHead const& head)
 {
     auto const text = head.fields.find(Platform::headerNames().timeLeftMilliseconds);
     int64_t milliseconds = 0;
     if (!text || std::from_chars(text->data(), text->data() + text->size(), milliseconds).ec != std::errc()
         || milliseconds <= 0)
-        return defaultTimeout;
+        return std::nullopt;
     return std::min<Core::Duration>(std::chrono::milliseconds(milliseconds), 24h);
 }
 
@@ -102,7 +105,10 @@
         co_return Error { ErrorKind::UnknownRoute, {} };
     request.uniform = uniform();
     request.service = Traffic::chooseService(*request.route, uniform());
-    auto const left = timeLeft(head);
+    auto const statedTime = timeLeft(head);
+    auto const left = statedTime.value_or(defaultTimeout);
+    if (statedTime)
+        request.callerDeadline = request.arrivedAt + *statedTime;
     request.earlierWait = m_state.timeLimits[request.route->name].note(left);
     request.deadline = request.arrivedAt + std::min(left, request.route->timeout);
     request.deadlineWatchdog->arm(
@@ -281,17 +287,30 @@
             co_await exchange.finish();
         co_return;
     }
+    co_await stream(request, std::move(head));
+}
+
+awaitable<void> EntryHandler::stream(EntryRequest& request, HTTP::ResponseHead head)
+{
+    auto& exchange = request.exchange;
     auto const connection = request.streamingConnection;
     StopSignal::Scope const scope(request.stopSignal, [&] {
         connection->close();
         exchange.abort();
     });
+    // A target in trouble may send a body without end, and after its own time limit no caller waits for the rest.
+    if (request.callerDeadline)
+        request.deadlineWatchdog->arm(
+            *request.callerDeadline, [&request] { request.stopSignal.stop(ErrorKind::DeadlineExceeded); });
+    auto const stallWatchdog = HTTP::Watchdog::create(exchange.strand());
     exchange.startResponse(std::move(head));
     bool isSent = co_await exchange.sendBody(request.responseBody);
     bool isComplete = false;
     std::vector<char> buffer(readBufferSize);
     while (isSent && !isComplete && !request.stopSignal.reason()) {
+        stallWatchdog->arm(Core::monotonicNow() + streamStallTimeout, [&connection] { connection->close(); });
         auto const size = co_await connection->readBody(buffer);
+        stallWatchdog->disarm();
         if (isError(size))
             break;
         isComplete = valueOf(size) == 0;
@@ -301,11 +320,20 @@
             isSent = co_await exchange.sendBody(piece);
         }
     }
+    request.deadlineWatchdog->disarm();
     if (isComplete) {
         m_pool.release(connection, Core::monotonicNow());
         co_await exchange.finish();
         co_return;
     }
+    auto const reason = request.stopSignal.reason();
+    if (isSent && reason != ErrorKind::CallerGone)
+        m_state.directory.noteFault(request.lastTarget, Traffic::TargetFault::Unreachable, Core::monotonicNow());
+    Telemetry::EventLine("answer_broken_off")
+        .add("request_id", request.requestId)
+        .add("target", request.lastTarget)
+        .add("reason", reason ? Core::errorName(*reason) : Core::errorName(ErrorKind::ConnectionLost))
+        .logInfo();
     m_pool.discard(connection, false);
     exchange.abort();
 }
--- a/Services/comfreysaild/EntryHandler.h
+++ b/Services/comfreysaild/EntryHandler.h
@@ -23,6 +23,8 @@
     HTTP::awaitable<Core::Result<Core::Empty>> prepare(EntryRequest&);
     HTTP::awaitable<void> forward(EntryRequest&);
     HTTP::awaitable<void> deliver(EntryRequest&);
+    /// Passes on a response body that is too large to buffer.
+    HTTP::awaitable<void> stream(EntryRequest&, HTTP::ResponseHead);
     HTTP::awaitable<void> refuse(EntryRequest&, Core::Error const&);
     bool mayRetry(EntryRequest&, Traffic::ResponseVerdict, Core::Instant now);
     void noteSend(EntryRequest&, Traffic::RegisteredTarget const&);
--- a/Services/comfreysaild/EntryRequest.h
+++ b/Services/comfreysaild/EntryRequest.h
@@ -27,8 +27,9 @@
     std::string service;
     std::string requestId;
     uint64_t fingerprint { 0 };
-    Core::Instant deadline {};
-    Core::Duration earlierWait {}; ///< Time that the caller spent on earlier attempts, estimated.
+    Core::Instant deadline {}; ///< End of the caller's time or of the route's timeout, whichever comes first.
+    std::optional<Core::Instant> callerDeadline; ///< Absent if the caller states no time limit.
+    Core::Duration earlierWait {};               ///< Time that the caller spent on earlier attempts, estimated.
     std::shared_ptr<std::string> body { std::make_shared<std::string>() };
     double uniform { 0 }; ///< Random number in [0, 1), drawn once, so that retries go to the same version.
 
--- a/Services/comfreysaild/LoadProber.cpp
+++ b/Services/comfreysaild/LoadProber.cpp
@@ -17,6 +17,8 @@
 // A working target responds to a probe at once. One that takes longer is treated as unreachable.
 constexpr auto probeTimeout = std::chrono::milliseconds(250);
 constexpr unsigned statusOk = 200;
+// Only the head of the response to a probe counts. A target in trouble may send a body without end.
+constexpr size_t maxProbeBodyBytes = size_t { 16 } * 1024;
 
 std::optional<int64_t> parseInteger(std::optional<std::string_view> text)
 {
@@ -118,7 +120,7 @@
 awaitable<bool> LoadProber::exchange(std::shared_ptr<HTTP::ClientConnection> connection,
     Traffic::RegisteredTarget const& target, std::string const& healthPath, Instant deadline)
 {
-    auto const response = co_await bufferedGet(m_pool, std::move(connection), healthPath, deadline);
+    auto const response = co_await bufferedGet(m_pool, std::move(connection), healthPath, maxProbeBodyBytes, deadline);
     if (response)
         noteAnswer(target, response->head);
     m_state.metrics.counter("comfreysail_load_questions_total", { { "answered", response ? "true" : "false" } }).add();
--- a/Services/comfreysaild/Relay.cpp
+++ b/Services/comfreysaild/Relay.cpp
@@ -24,6 +24,8 @@
 // Total size of the responses that are being built and sent. Each is in memory about three times meanwhile, and control
 // traffic may use 32 MB. Without a limit a daemon used 234 MB with 300 VMs and 3,000 targets, presumably for responses.
 constexpr size_t maxResponseBytesInFlight = size_t { 8 } << 20;
+// Larger responses of other daemons are refused. A daemon has responses of half this size in flight at most.
+constexpr size_t maxRowsBytes = 2 * maxResponseBytesInFlight;
 // A greater age is invalid, and could overflow when it is converted to microseconds.
 constexpr std::chrono::duration<uint64_t, std::milli> maxAge = std::chrono::hours(24);
 // A follower that has not polled for this long now polls another daemon, which counts its evidence instead.
@@ -143,7 +145,8 @@
     auto connection = m_pool.take(endpoint, HTTP::ReusePolicy::Any, now);
     if (!connection)
         connection = m_pool.create(endpoint);
-    auto const response = co_await bufferedGet(m_pool, std::move(connection), std::move(target), now + query.timeout);
+    auto const response
+        = co_await bufferedGet(m_pool, std::move(connection), std::move(target), maxRowsBytes, now + query.timeout);
     auto const result
         = response && response->head.status == 200 ? applyResponse(member, response->body) : RelayResult::Failed;
     co_return result;
--- /dev/null
+++ b/Tests/comfreysaild/TestEntryEndlessResponses.cpp
@@ -0,0 +1,115 @@
+#include "EntryFixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Comfreysail::Tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+// The daemon has to close the connection within the request's time limit of 2 s. After this time the test gives up.
+constexpr auto longestSending = 6s;
+constexpr size_t pieceSize = size_t { 16 } * 1024;
+// Twice what one buffered response may take, for the daemon's copies of it.
+constexpr size_t maxGrowthKilobytes = 8 * 1024;
+
+struct EndlessCase {
+    std::string name;
+    std::string start;               ///< Follows the status line and the fields that identify the response.
+    std::string piece;               ///< Repeated without end.
+    bool isCompleteBefore { false }; ///< The response is complete before the bytes without end.
+};
+
+std::vector<EndlessCase> endlessCases()
+{
+    auto const chunked = std::string("Transfer-Encoding: chunked\r\n\r\n");
+    return {
+        { "fields", "", "X-More: abcdefgh\r\n" },
+        { "a field line", "X-More: ", "abcdefgh" },
+        { "a body without a length", "\r\n", "abcdefgh" },
+        { "chunks", chunked, "8\r\nabcdefgh\r\n" },
+        { "a chunk size", chunked, "00000000" },
+        { "a chunk extension", chunked + "8;", "abcdefgh" },
+        { "trailer fields", chunked + "0\r\n", "X-More: abcdefgh\r\n" },
+        { "bytes behind the body", "Content-Length: 5\r\n\r\nabcde", "abcdefgh", true },
+        { "bytes that are no response", "Content-Length: 0\r\n\r\n", std::string(8, '\0'), true },
+    };
+}
+
+/// Sends the bytes until the peer closes the connection. Returns false if it does not close in time.
+bool sendWithoutEnd(RawConnection& connection, std::string const& start, std::string const& piece)
+{
+    std::string pieces;
+    while (pieces.size() < pieceSize)
+        pieces += piece;
+    connection.setTimeout(500ms);
+    connection.send(start);
+    auto const end = std::chrono::steady_clock::now() + longestSending;
+    while (std::chrono::steady_clock::now() < end) {
+        if (!connection.send(pieces))
+            return true;
+    }
+    return false;
+}
+
+}
+
+// Guards against a target in trouble that sends bytes without end: the request must end honestly within its time limit,
+// memory must stay flat, and other requests must be served.
+TEST_CASE_METHOD(EntryFixture, "Entry_ResponseWithoutEnd_EndsInTimeWithFlatMemory")
+{
+    auto const cases = endlessCases();
+    auto const example = cases[GENERATE(range(0, 9))];
+    CAPTURE(example.name);
+    std::atomic<unsigned> closed { 0 };
+    auto& target = addTarget("t1", [&](RawConnection& connection, std::string const& head) {
+        auto const start = "HTTP/1.1 200 OK\r\nX-Comfreysail-Request-Id: " + requestIdOf(head)
+            + "\r\nX-Comfreysail-Backend-Signature: s\r\n" + example.start;
+        closed += sendWithoutEnd(connection, start, example.piece) ? 1 : 0;
+        return false;
+    });
+    auto& daemon = startDaemon();
+    call("GET", "/none"); // Settles the daemon's memory.
+    auto const before = daemon.residentKilobytes();
+    auto const begin = std::chrono::steady_clock::now();
+    auto const response = call("POST", "/pay/1", "order");
+    CHECK(std::chrono::steady_clock::now() - begin < 2500ms);
+    CHECK(response.isComplete == (example.isCompleteBefore || response.status() >= 500));
+    CHECK(response.status() != 503);
+    CHECK(daemon.residentKilobytes() < before + maxGrowthKilobytes);
+    CHECK(target.runs == 1);
+    CHECK(eventually([&] { return closed >= 1; }, 4s));
+    auto& healthy = addTarget("t2", [](RawConnection& connection, std::string const& head) {
+        connection.send(signedResponse(head, "whole"));
+        return true;
+    });
+    CHECK(eventually([&] { return call("GET", "/read/1").body == "whole"; }, 5s));
+    CHECK(healthy.runs >= 1);
+}
+
+// The same in the responses to load probes, which the daemon reads into memory.
+TEST_CASE_METHOD(EntryFixture, "Entry_LoadResponseWithoutEnd_TakesNoMemoryAndAnotherTargetServes")
+{
+    auto const cases = endlessCases();
+    auto const example = cases[GENERATE(range(0, 9))];
+    CAPTURE(example.name);
+    auto& target = addTarget("t1", [&](RawConnection& connection, std::string const& head) {
+        // A target whose response to the probe is complete gets requests.
+        connection.send(example.isCompleteBefore ? signedResponse(head, "whole") : std::string());
+        return example.isCompleteBefore;
+    });
+    target.loadScript = [&](RawConnection& connection, std::string const&) {
+        sendWithoutEnd(connection, "HTTP/1.1 200 OK\r\n" + example.start, example.piece);
+        return false;
+    };
+    addTarget("t2", [](RawConnection& connection, std::string const& head) {
+        connection.send(signedResponse(head, "whole"));
+        return true;
+    });
+    auto& daemon = startDaemon();
+    auto const before = daemon.residentKilobytes();
+    for (unsigned index = 0; index < 8; ++index) {
+        CHECK(call("POST", "/pay/1", "order").body == "whole");
+        CHECK(daemon.residentKilobytes() < before + maxGrowthKilobytes);
+    }
+}
