comfreysaild: Relay large rows compressed

With 1,700 routes it goes over links of 10 Mbit/s to up to sixteen followers at each of three levels. Ruled out: single slow members; the failures were spread over all levels. Change: a daemon that asks for it gets rows above 4 KiB as Zstandard frames. The reader compresses a row once, the others pass on the form that they received; digests stay those of the plain text, so older and newer builds can relay to each other. New package libzstd-dev.

--- a/Libraries/LibCore/Core.h
+++ b/Libraries/LibCore/Core.h
@@ -1,7 +1,9 @@
 #pragma once
 
-/// Public header of LibCore: error kinds, results, time types, names and hashing that every other library uses.
+/// Public header of LibCore: error kinds, results, time types, names, hashing and compression that every other library
+/// uses.
 
+#include <LibCore/Compression.h>
 #include <LibCore/Error.h>
 #include <LibCore/ErrorKind.h>
 #include <LibCore/Hash.h>
--- a/Meta/common.sh
+++ b/Meta/common.sh
@@ -11,7 +11,7 @@
     g++ cmake ninja-build ccache pkg-config clang-format clang-tidy curl
     libboost1.81-dev libboost-program-options1.81-dev libboost-json1.81-dev libboost-url1.81-dev
     libzmq3-dev cppzmq-dev libprotobuf-dev protobuf-compiler libgoogle-glog-dev
-    libtomlplusplus-dev libxxhash-dev catch2
+    libtomlplusplus-dev libxxhash-dev libzstd-dev catch2
 )
 
 install_packages() {
--- a/Services/comfreysaild/Relay.cpp
+++ b/Services/comfreysaild/Relay.cpp
@@ -31,6 +31,9 @@
 // A follower that has not polled for this long now polls another daemon, which counts its evidence instead.
 constexpr auto followerTimeout = 3s;
 
+// Names the compression of a row, in requests and in responses.
+constexpr char const* compressedField = "zstd";
+
 std::string encoded(std::string_view text) { return boost::urls::encode(text, boost::urls::unreserved_chars); }
 
 std::string numbersOf(VersionEvidence const& evidence)
@@ -141,7 +144,7 @@
     auto target = "/rows?name=" + encoded(m_vmName)
         + "&revisions=" + encoded(numbersText(m_state.sharedRows.knownRevisions()))
         + "&verdicts=" + encoded(numbersText(m_state.verdicts)) + "&wait_ms=" + std::to_string(wait)
-        + "&evidence=" + encoded(evidenceText(now));
+        + "&encoding=" + compressedField + "&evidence=" + encoded(evidenceText(now));
     auto connection = m_pool.take(endpoint, HTTP::ReusePolicy::Any, now);
     if (!connection)
         connection = m_pool.create(endpoint);
@@ -186,6 +189,14 @@
         Traffic::SharedRow row { textOf((*fields)[0]), textOf((*fields)[1]), std::nullopt };
         if ((*fields)[2].is_string())
             row.text = textOf((*fields)[2]);
+        if (auto const* const compressed = (*fields)[2].if_object()) {
+            auto const* const encoded = compressed->if_contains(compressedField);
+            row.text = m_compressedRows.add(row.table, row.key, encoded ? textOf(*encoded) : std::string());
+            if (!row.text) {
+                Telemetry::EventLine("relay_answer_refused").add("member", member).logWarning();
+                return RelayResult::Failed;
+            }
+        }
         changes.rows.push_back(std::move(row));
     }
     // Verdicts are final, so they are applied even if the rows are stale.
@@ -202,12 +213,16 @@
     return age <= maxFreshAge ? RelayResult::Fresh : RelayResult::Stale;
 }
 
-std::string Relay::responseText(Traffic::SharedChanges const& changes) const
+std::string Relay::responseText(Traffic::SharedChanges const& changes, bool isCompressionAccepted)
 {
     boost::json::array rows;
     for (auto const& row : changes.rows) {
         boost::json::array entry { boost::json::string(row.table), boost::json::string(row.key) };
-        entry.push_back(row.text ? boost::json::value(boost::json::string(*row.text)) : boost::json::value());
+        auto const compressed = isCompressionAccepted ? m_compressedRows.find(row) : std::nullopt;
+        if (compressed)
+            entry.push_back(boost::json::object { { compressedField, boost::json::string(*compressed) } });
+        else
+            entry.push_back(row.text ? boost::json::value(boost::json::string(*row.text)) : boost::json::value());
         rows.push_back(std::move(entry));
     }
     boost::json::array complete;
@@ -271,7 +286,8 @@
         m_waitingTimers.erase(&timer);
         changes = m_state.sharedRows.changesAfter(known);
     }
-    auto const text = responseText(changes);
+    // Daemons of older builds do not ask for compressed rows.
+    auto const text = responseText(changes, parameters["encoding"] == compressedField);
     m_responseBytesInFlight += text.size();
     co_await exchange.respond(std::move(head), text);
     m_responseBytesInFlight -= text.size();
--- a/Services/comfreysaild/Relay.h
+++ b/Services/comfreysaild/Relay.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "CompressedRows.h"
 #include "EntryState.h"
 #include <LibHTTP/HTTP.h>
 #include <boost/asio/io_context.hpp>
@@ -45,7 +46,7 @@
 private:
     RelayResult applyResponse(std::string const& member, std::string const& body);
     std::string evidenceText(Core::Instant now) const;
-    std::string responseText(Traffic::SharedChanges const&) const;
+    std::string responseText(Traffic::SharedChanges const&, bool isCompressionAccepted);
     HTTP::awaitable<void> refuseBusy(HTTP::ServerExchange&);
     bool knowsVerdicts(std::string_view verdictText) const;
 
@@ -53,6 +54,7 @@
     HTTP::ConnectionPool& m_pool;
     EntryState& m_state;
     std::string m_vmName;
+    CompressedRows m_compressedRows;
 
     size_t m_responseBytesInFlight { 0 }; ///< Size of the responses that are being sent.
 
--- a/Tests/comfreysaild/EntryFixture.cpp
+++ b/Tests/comfreysaild/EntryFixture.cpp
@@ -11,12 +11,6 @@
     "tls":false,"cold-start-s":3,"cold-per-s":4.8}],"limits":{"max-header-bytes":16384,"max-body-bytes":1000000,
     "header-timeout-s":3,"idle-timeout-s":15}})";
 
-std::string routeText(std::string const& name, std::string const& prefix, std::string const& kind)
-{
-    return R"({"name":")" + name + R"(","host":"orders.test","prefix":")" + prefix + R"(","kind":")" + kind
-        + R"(","timeout-s":1,"target-latency-s":0.3,"priority":1,"service":"orders","max-attempts":2})";
-}
-
 }
 
 EntryTarget::EntryTarget(std::string id, ScriptedTarget::Script script)
@@ -145,6 +139,12 @@
     return connection.readResponse();
 }
 
+std::string routeText(std::string const& name, std::string const& prefix, std::string const& kind)
+{
+    return R"({"name":")" + name + R"(","host":"orders.test","prefix":")" + prefix + R"(","kind":")" + kind
+        + R"(","timeout-s":1,"target-latency-s":0.3,"priority":1,"service":"orders","max-attempts":2})";
+}
+
 std::string requestIdOf(std::string const& head)
 {
     std::string const name = "X-Comfreysail-Request-Id: ";
--- a/Tests/comfreysaild/EntryFixture.h
+++ b/Tests/comfreysaild/EntryFixture.h
@@ -68,6 +68,9 @@
     unsigned m_requests { 0 };
 };
 
+/// The JSON text of a route of the service "orders".
+std::string routeText(std::string const& name, std::string const& prefix, std::string const& kind);
+
 /// The request id in a request head.
 std::string requestIdOf(std::string const& head);
 
--- a/Tests/comfreysaild/TestEntryFuzz.cpp
+++ b/Tests/comfreysaild/TestEntryFuzz.cpp
@@ -103,7 +103,8 @@
     std::mt19937 generator(seed);
     std::string const answer
         = R"({"age_ms":5,"revisions":{"op":1,"servers":1},"digests":{"op":1},)"
-          R"("complete":["op"],"rows":[["op","config","1\n{}"],["op","x",null]],"verdicts":{"s":1}})";
+          R"("complete":["op"],"rows":[["op","config","1\n{}"],["op","y",{"zstd":"KLUv/SAFKQAAMQphYmM="}],["op","x",null]],)"
+          R"("verdicts":{"s":1}})";
     ScriptedTarget const peer([&](RawConnection& connection, std::string const&) {
         connection.send(wholeResponse(mutated(answer, generator)));
         return true;
--- a/Tests/comfreysaild/TestEntryState.cpp
+++ b/Tests/comfreysaild/TestEntryState.cpp
@@ -244,6 +244,36 @@
     CHECK(call("GET", "/read/1").status() == 200);
 }
 
+// Guards against settings with many routes that take seconds to pass the levels of the relay tree over narrow links. A
+// daemon of an older build, which does not ask for compressed rows, must still get them.
+TEST_CASE_METHOD(EntryFixture, "Entry_SettingsWithManyRoutes_AreRelayedInAFractionOfTheirSize")
+{
+    addTarget("t1", respondComplete);
+    std::string routes;
+    for (unsigned number = 0; number < 1700; ++number)
+        routes += "," + routeText("r" + std::to_string(number), "/" + std::to_string(number * 7919) + "/", "safe");
+    writePlan(3, routes);
+    auto const& source = startDaemon();
+    auto const rowsOf = [&](std::string const& query) {
+        auto connection = RawConnection::connectTo(source.controlPort());
+        connection.send("GET /rows?name=vm" + query + " HTTP/1.1\r\nHost: a\r\n\r\n");
+        return connection.readResponse().body;
+    };
+    auto const plain = rowsOf("");
+    auto const compressed = rowsOf("&encoding=zstd");
+    CHECK(plain.find("/" + std::to_string(1699 * 7919) + "/") != std::string::npos);
+    CHECK(compressed.size() < plain.size() / 4);
+    // The second daemon gets the settings only from the first one.
+    setFaults(R"({"mode":"down"})");
+    DaemonOptions options;
+    options.seedPorts = { source.controlPort() };
+    auto const& follower = startDaemon(options);
+    auto connection = follower.connect();
+    connection.send(requestText("GET", "/" + std::to_string(1699 * 7919) + "/", "id1"));
+    CHECK(connection.readResponse().body == "whole");
+    CHECK(follower.log().find("routes=1703") != std::string::npos);
+}
+
 // The platform kills the process after the grace time. Guards against waiting that long for a request that takes
 // longer.
 TEST_CASE_METHOD(EntryFixture, "Entry_SigtermDuringARequestLongerThanTheGraceTime_ExitsWithinTheGraceTime")
