comfreysaild: Answer what waits at a planned stop, and look at the clock after a pause

Two faults that operators of similar systems had, shown here with real processes. Stop: closing the listening socket reset the connections that waited in the kernel: of 40 requests sent before a SIGTERM 3 were answered. They are accepted now before it closes. One more in 40 was lost because an idle connection was closed between the receipt of its request and the report of it; idle connections now end by cancelling the read, which has no effect once bytes were received. Pause: a daemon stopped for 3 s sent 5 of 8 requests to a target that had left meanwhile. The daemon now notices gaps of its ticks above 2 s on the clock that counts suspensions. Afterwards requests wait up to 1 s for rows read since, a selection that a pause interrupted is repeated, and the pause is checked last before a send. Responses of daemons and to load probes that arrived during a pause are not taken as fresh, and a missing one is not held against the target.

--- a/Libraries/LibCore/Time.h
+++ b/Libraries/LibCore/Time.h
@@ -17,6 +17,9 @@
 
 inline Instant monotonicNow() { return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now()); }
 
+/// The time since the VM booted, including the time in which it was suspended; monotonicNow() does not count that.
+Duration suspendAwareNow();
+
 inline WallTime wallNow()
 {
     return std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
--- a/Libraries/LibHTTP/Server.cpp
+++ b/Libraries/LibHTTP/Server.cpp
@@ -64,8 +64,11 @@
     void closeIfIdle()
     {
         asio::post(m_strand, [self = shared_from_this()] {
+            // The pending read may already have taken bytes of a request from the socket, which it has not reported
+            // yet. Cancelling it has no effect then, and the request is served.
+            ErrorCode ignored;
             if (self->isIdle() && self->m_stream.isOpenWithoutInput())
-                self->m_stream.close();
+                self->m_stream.socket.cancel(ignored);
         });
     }
 
@@ -75,6 +78,15 @@
         m_watchdogs.read->arm(Core::monotonicNow() + timeout, [&stream = m_stream] { stream.close(); });
     }
 
+    /// Ends the wait for a next request. Unlike a close, it does not lose a request that has just been received.
+    void armCancel(Core::Duration timeout)
+    {
+        m_watchdogs.read->arm(Core::monotonicNow() + timeout, [&stream = m_stream] {
+            ErrorCode ignored;
+            stream.socket.cancel(ignored);
+        });
+    }
+
     struct Request {
         Request(Stream& stream, ReadLimits limits)
             : reader(stream, limits)
@@ -112,7 +124,7 @@
         if (m_stream.received.isEmpty()) {
             m_isReceiving = true;
             if (isIdle())
-                armClose(options.idleTimeout);
+                armCancel(options.idleTimeout);
             auto const error = co_await m_stream.receive(firstReadSize);
             m_isReceiving = false;
             m_watchdogs.read->disarm();
@@ -169,7 +181,7 @@
         else if (!m_requestsInProgress.empty())
             m_requestsInProgress.front()->exchange->noteEarlierResponsesSent();
         if (isIdle())
-            armClose(m_server->m_options.idleTimeout);
+            armCancel(m_server->m_options.idleTimeout);
         noteChange();
     }
 
@@ -300,21 +312,35 @@
             co_await retryTimer.async_wait(useTuple);
             continue;
         }
-        if (connections() >= m_options.maxConnections)
-            continue; // The socket closes here, which makes the platform's load balancer use another VM immediately.
-        asio::any_io_executor const strand = asio::make_strand(m_context);
-        auto session = std::make_shared<Session>(self, std::move(socket), strand);
-        addSession(session);
-        asio::co_spawn(
-            strand, [session]() -> awaitable<void> { co_await session->run(); }, asio::detached);
+        serve(std::move(socket));
     }
 }
 
+void Server::serve(tcp::socket socket)
+{
+    if (connections() >= m_options.maxConnections)
+        return; // The socket closes here, which makes the platform's load balancer use another VM immediately.
+    asio::any_io_executor const strand = asio::make_strand(m_context);
+    auto session = std::make_shared<Session>(shared_from_this(), std::move(socket), strand);
+    addSession(session);
+    asio::co_spawn(
+        strand, [session]() -> awaitable<void> { co_await session->run(); }, asio::detached);
+}
+
 void Server::stopAccepting()
 {
     asio::post(m_acceptStrand, [self = shared_from_this()] {
-        ErrorCode ignored;
-        self->m_acceptor.close(ignored);
+        // Closing the listening socket would reset the connections that callers have opened and that wait in the
+        // kernel, perhaps with a request.
+        ErrorCode error;
+        self->m_acceptor.cancel(error);
+        self->m_acceptor.non_blocking(true, error);
+        while (!error) {
+            auto socket = self->m_acceptor.accept(self->m_context.get_executor(), error);
+            if (!error)
+                self->serve(std::move(socket));
+        }
+        self->m_acceptor.close(error);
     });
 }
 
--- a/Libraries/LibHTTP/Server.h
+++ b/Libraries/LibHTTP/Server.h
@@ -32,6 +32,7 @@
     /// Closes the connections that have no request in progress and have received no byte of a new one.
     void closeIdleConnections();
 
+    /// Accepts the connections that wait in the kernel, and then no more.
     void stopAccepting();
 
     size_t connections() const;
@@ -41,6 +42,7 @@
 
     Server(asio::io_context&, ServerOptions, Handler);
     awaitable<void> acceptLoop();
+    void serve(tcp::socket);
     void addSession(std::shared_ptr<Session> const&);
     void removeSession(Session const*);
 
--- a/Libraries/LibTraffic/Traffic.h
+++ b/Libraries/LibTraffic/Traffic.h
@@ -8,6 +8,7 @@
 #include <LibTraffic/ColdTargetRateLimiter.h>
 #include <LibTraffic/DirectoryEntry.h>
 #include <LibTraffic/MoveJudge.h>
+#include <LibTraffic/PauseDetector.h>
 #include <LibTraffic/Placement.h>
 #include <LibTraffic/QueueingEstimate.h>
 #include <LibTraffic/RegisteredTarget.h>
--- a/Services/comfreysaild/EntryDaemon.cpp
+++ b/Services/comfreysaild/EntryDaemon.cpp
@@ -23,6 +23,8 @@
 // the connection fails.
 constexpr auto maxIdleTime = 8s;
 constexpr auto maintenanceInterval = 1s;
+// Several times within the gap that counts as a pause.
+constexpr auto tickInterval = 500ms;
 constexpr auto shutdownPollInterval = 20ms;
 // Time for a request that is still being received when the last active request ends.
 constexpr auto lastRequestsGrace = 100ms;
@@ -94,6 +96,7 @@
         .add("admin_port", m_adminServer->port())
         .logInfo();
     asio::co_spawn(m_context, maintenanceLoop(), asio::detached);
+    asio::co_spawn(m_context, tickLoop(), asio::detached);
     asio::co_spawn(m_context, waitForSignals(), asio::detached);
     m_context.run();
     return exitSuccess;
@@ -115,6 +118,17 @@
     co_await timer.async_wait(HTTP::useTuple);
 }
 
+awaitable<void> EntryDaemon::tickLoop()
+{
+    unsigned pauses = 0;
+    while (true) {
+        auto const count = m_state.pauses.noteTick(Core::suspendAwareNow());
+        if (std::exchange(pauses, count) != count)
+            Telemetry::EventLine("process_was_paused").add("pauses", count).logWarning();
+        co_await pause(tickInterval);
+    }
+}
+
 awaitable<void> EntryDaemon::maintenanceLoop()
 {
     while (true) {
--- a/Services/comfreysaild/EntryDaemon.h
+++ b/Services/comfreysaild/EntryDaemon.h
@@ -24,6 +24,8 @@
     Core::Result<Core::Empty> start();
     HTTP::awaitable<void> handleAdmin(HTTP::ServerExchange&);
     HTTP::awaitable<void> maintenanceLoop();
+    /// Detects pauses of the process.
+    HTTP::awaitable<void> tickLoop();
     /// Writes a row to the store, so that all daemons learn that the request crashed the target instance.
     HTTP::awaitable<void> reportCrash(uint64_t fingerprint, std::string targetInstance);
     HTTP::awaitable<void> waitForSignals();
--- a/Services/comfreysaild/EntryRequest.h
+++ b/Services/comfreysaild/EntryRequest.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "EntryState.h"
 #include "StopSignal.h"
 #include <LibHTTP/HTTP.h>
 #include <LibTraffic/Traffic.h>
@@ -33,6 +34,8 @@
     std::shared_ptr<std::string> body { std::make_shared<std::string>() };
     double uniform { 0 }; ///< Random number in [0, 1), drawn once, so that retries go to the same version.
 
+    unsigned pausesAtSelection { 0 }; ///< Number of pauses of the process when the selection of the target began.
+
     unsigned sends { 0 };
     std::string lastTarget;
     bool isLastTargetInOwnZone { false }; ///< The last target is in this daemon's availability zone.
@@ -49,6 +52,13 @@
     /// Set while the response body is too large to buffer; the rest of it is still to be read from this connection.
     std::shared_ptr<HTTP::ClientConnection> streamingConnection;
 
+    /// Returns true if the process was paused after the selection of the target began. What was known then may have
+    /// expired.
+    bool wasPausedSinceSelection(EntryState& state) const
+    {
+        return state.pauses.noteTick(Core::suspendAwareNow()) != pausesAtSelection;
+    }
+
     bool isIdempotent() const { return route->idempotency == Traffic::Idempotency::Idempotent; }
 };
 
--- a/Services/comfreysaild/EntryState.h
+++ b/Services/comfreysaild/EntryState.h
@@ -39,6 +39,7 @@
     std::map<std::string, MoveInProgress, std::less<>> moves; ///< By service.
     std::map<std::string, uint64_t, std::less<>> verdicts;    ///< Revision of the move order judged bad, by service.
     Traffic::TargetDirectory directory;
+    Traffic::PauseDetector pauses;
     bool hasReadTargets { false };
     Traffic::SharedRetryBudget retries;
     Traffic::ColdTargetRateLimiter coldSends;
--- a/Services/comfreysaild/LoadProber.cpp
+++ b/Services/comfreysaild/LoadProber.cpp
@@ -16,6 +16,9 @@
 
 // A working target responds to a probe at once. One that takes longer is treated as unreachable.
 constexpr auto probeTimeout = std::chrono::milliseconds(250);
+// A response that took longer waited in this process. It is twice the timeout, because timers fire late under full
+// load.
+constexpr auto maxProbeAge = 2 * probeTimeout;
 constexpr unsigned statusOk = 200;
 // Only the head of the response to a probe counts. A target in trouble may send a body without end.
 constexpr size_t maxProbeBodyBytes = size_t { 16 } * 1024;
@@ -89,6 +92,7 @@
         auto const target = record->target;
         HTTP::Endpoint const endpoint { target.address, target.port };
         auto const deadline = Core::monotonicNow() + probeTimeout;
+        auto const pauses = m_state.pauses.noteTick(Core::suspendAwareNow());
         bool hasResponded = false;
         if (auto pooled = m_pool.take(endpoint, HTTP::ReusePolicy::Any, Core::monotonicNow()))
             hasResponded = co_await exchange(std::move(pooled), target, healthPath, deadline);
@@ -96,7 +100,9 @@
         if (!hasResponded && Core::monotonicNow() < deadline + probeTimeout) {
             auto fresh = m_pool.create(endpoint);
             hasResponded = co_await exchange(std::move(fresh), target, healthPath, Core::monotonicNow() + probeTimeout);
-            if (!hasResponded)
+            // After a pause of this process, a missing response says nothing about the target.
+            bool const wasPaused = m_state.pauses.noteTick(Core::suspendAwareNow()) != pauses;
+            if (!hasResponded && !wasPaused)
                 m_state.directory.noteFault(id, Traffic::TargetFault::Unreachable, Core::monotonicNow());
         }
     }
@@ -120,7 +126,11 @@
 awaitable<bool> LoadProber::exchange(std::shared_ptr<HTTP::ClientConnection> connection,
     Traffic::RegisteredTarget const& target, std::string const& healthPath, Instant deadline)
 {
+    auto const startedAt = Core::suspendAwareNow();
     auto const response = co_await bufferedGet(m_pool, std::move(connection), healthPath, maxProbeBodyBytes, deadline);
+    // A load report that arrived while the process was paused is outdated.
+    if (Core::suspendAwareNow() - startedAt > maxProbeAge)
+        co_return false;
     if (response)
         noteAnswer(target, response->head);
     m_state.metrics.counter("comfreysail_load_questions_total", { { "answered", response ? "true" : "false" } }).add();
--- a/Services/comfreysaild/Relay.cpp
+++ b/Services/comfreysaild/Relay.cpp
@@ -19,6 +19,8 @@
 
 namespace {
 
+// How late a timer may fire on a small VM under full load.
+constexpr auto maxTimerDelay = 500ms;
 // Upper bound of the wait_ms that another daemon may request.
 constexpr auto maxWait = 1s;
 // Total size of the responses that are being built and sent. Each is in memory about three times meanwhile, and control
@@ -148,8 +150,12 @@
     auto connection = m_pool.take(endpoint, HTTP::ReusePolicy::Any, now);
     if (!connection)
         connection = m_pool.create(endpoint);
+    auto const startedAt = Core::suspendAwareNow();
     auto const response
         = co_await bufferedGet(m_pool, std::move(connection), std::move(target), maxRowsBytes, now + query.timeout);
+    // A response that arrived while the process was paused states the age that the rows had before.
+    if (Core::suspendAwareNow() - startedAt > query.timeout + maxTimerDelay)
+        co_return RelayResult::Failed;
     auto const result
         = response && response->head.status == 200 ? applyResponse(member, response->body) : RelayResult::Failed;
     co_return result;
--- a/Services/comfreysaild/StoreFollower.cpp
+++ b/Services/comfreysaild/StoreFollower.cpp
@@ -262,10 +262,13 @@
     if (!endpoint)
         co_return RelayResult::Failed;
     auto const query = queryFor(source.name, mayWait);
+    auto const startedAt = Core::suspendAwareNow();
     auto result = co_await m_relay.poll(source.name, *endpoint, query);
     if (result == RelayResult::Incomplete)
         result = co_await m_relay.poll(source.name, *endpoint, immediateQuery);
     adoptRows();
+    if (result == RelayResult::Fresh)
+        m_state.pauses.noteRefreshed(startedAt);
     if (result == RelayResult::Failed) {
         m_backoff.noteFailed(source.name, {}, Core::monotonicNow());
         Telemetry::EventLine("relay_failed").add("member", source.name).logInfo();
@@ -278,6 +281,7 @@
 awaitable<bool> StoreFollower::readStore()
 {
     auto const startedAt = Core::monotonicNow();
+    auto const startedAtSinceBoot = Core::suspendAwareNow();
     bool const hasOperators = co_await m_reader.readTable(Platform::Table::operators);
     if (!hasOperators)
         co_return false;
@@ -288,6 +292,7 @@
     noteFresh();
     // These tables suffice for serving requests; the others may follow.
     adoptRows();
+    m_state.pauses.noteRefreshed(startedAtSinceBoot);
     if (startedAt - m_membersReadAt >= membersInterval || m_membersReadAt == Instant {}) {
         m_membersReadAt = startedAt;
         co_await m_reader.readTable(Platform::Table::members);
--- a/Services/comfreysaild/TargetExchange.cpp
+++ b/Services/comfreysaild/TargetExchange.cpp
@@ -98,10 +98,16 @@
     if (!connection)
         connection = co_await connect(request, endpoint);
     if (!connection || request.stopSignal.reason()) {
-        if (!request.stopSignal.reason())
+        // After a pause of this process, a timeout says nothing about the target.
+        if (!request.stopSignal.reason() && !request.wasPausedSinceSelection(m_state))
             m_state.directory.noteFault(target.id, Traffic::TargetFault::Unreachable, Core::monotonicNow());
         co_return ResponseVerdict::NotRun;
     }
+    // A send cannot be taken back, so this is checked last.
+    if (request.wasPausedSinceSelection(m_state)) {
+        m_pool.discard(connection, false);
+        co_return ResponseVerdict::NotRun;
+    }
     m_state.directory.noteSent(target.id);
     request.sentAt = Core::monotonicNow();
     bool const mayHaveRunBefore = std::exchange(request.mayHaveRun, true);
--- a/Services/comfreysaild/TargetSelector.cpp
+++ b/Services/comfreysaild/TargetSelector.cpp
@@ -17,6 +17,7 @@
 
 // Timeout of one round of load probes. A probe takes one or two round trips inside a region.
 constexpr auto probeRoundTimeout = 40ms;
+constexpr auto freshRowsPollInterval = 10ms;
 // Assumed upper bound of daemons that run but are not in the member list yet, such as those of added VMs.
 constexpr unsigned maxDaemonsNotYetMembers = 4;
 
@@ -65,7 +66,27 @@
 {
 }
 
+awaitable<void> TargetSelector::waitForFreshRows(EntryRequest& request)
+{
+    boost::asio::steady_timer timer(m_context);
+    while (!request.stopSignal.reason() && m_state.pauses.needsRefresh(Core::suspendAwareNow())) {
+        timer.expires_after(freshRowsPollInterval);
+        co_await timer.async_wait(HTTP::useTuple);
+    }
+}
+
 awaitable<Result<RegisteredTarget>> TargetSelector::select(EntryRequest& request)
+{
+    while (true) {
+        request.pausesAtSelection = m_state.pauses.noteTick(Core::suspendAwareNow());
+        co_await waitForFreshRows(request);
+        auto selected = co_await selectOnce(request);
+        if (request.stopSignal.reason() || !request.wasPausedSinceSelection(m_state))
+            co_return selected;
+    }
+}
+
+awaitable<Result<RegisteredTarget>> TargetSelector::selectOnce(EntryRequest& request)
 {
     auto const placement = placementOf(request);
     auto const& plan = *request.plan;
--- a/Services/comfreysaild/TargetSelector.h
+++ b/Services/comfreysaild/TargetSelector.h
@@ -15,9 +15,12 @@
     HTTP::awaitable<Core::Result<Traffic::RegisteredTarget>> select(EntryRequest&);
 
 private:
+    /// After a pause of the process, waits until the rows are fresh again or the request ends.
+    HTTP::awaitable<void> waitForFreshRows(EntryRequest&);
     /// Probes targets in rounds until one is good enough, and returns the best one.
     HTTP::awaitable<Core::Result<Traffic::RegisteredTarget>> probeAndChoose(
         EntryRequest&, std::string const& healthPath, Traffic::PlacementRequest const&);
+    HTTP::awaitable<Core::Result<Traffic::RegisteredTarget>> selectOnce(EntryRequest&);
     Traffic::PlacementRequest placementOf(EntryRequest const&);
     std::vector<Traffic::DirectoryEntry const*> eligibleTargets(EntryRequest const&) const;
     /// If all eligible targets are cold, returns one whose rate limit for cold targets allows another request.
--- a/Tests/Support/DaemonProcess.cpp
+++ b/Tests/Support/DaemonProcess.cpp
@@ -240,6 +240,10 @@
 
 void DaemonProcess::hangUp() const { ::kill(m_process, SIGHUP); }
 
+void DaemonProcess::stop() const { ::kill(m_process, SIGSTOP); }
+
+void DaemonProcess::resume() const { ::kill(m_process, SIGCONT); }
+
 void DaemonProcess::terminate() const { ::kill(m_process, SIGTERM); }
 
 int DaemonProcess::waitForExit(std::chrono::milliseconds timeout)
--- a/Tests/Support/DaemonProcess.h
+++ b/Tests/Support/DaemonProcess.h
@@ -56,6 +56,8 @@
     void replaceInSettings(std::string const& part, std::string const& with) const;
     void hangUp() const;
     void terminate() const;
+    void stop() const; ///< Pauses the process.
+    void resume() const;
     void kill();
     /// Waits for the process to exit. Returns its exit code, or -1 if it does not exit in time or a signal ended it.
     int waitForExit(std::chrono::milliseconds = std::chrono::seconds(10));
--- a/Tests/comfreysaild/TestEntryState.cpp
+++ b/Tests/comfreysaild/TestEntryState.cpp
@@ -376,3 +376,52 @@
     CHECK(running.readResponse().body == "whole");
     CHECK(daemon().waitForExit(5s) == 0);
 }
+
+// Guards against connections that are reset during a planned stop: callers had opened them and sent requests, but the
+// daemon had not accepted them yet when it closed its listening socket.
+TEST_CASE_METHOD(EntryFixture, "Entry_SigtermWhileConnectionsWaitToBeAccepted_AnswersTheirRequests")
+{
+    addTarget("t1", respondComplete);
+    auto& daemon = startDaemon();
+    CHECK(call("GET", "/read/1").status() == 200);
+    daemon.stop();
+    std::vector<RawConnection> connections;
+    for (unsigned index = 0; index < 40; ++index) {
+        connections.push_back(daemon.connect());
+        connections.back().send(requestText("GET", "/read/1", "waiting" + std::to_string(index)));
+    }
+    daemon.terminate();
+    daemon.resume();
+    unsigned answered = 0;
+    for (auto& connection : connections) {
+        auto const response = connection.readResponse();
+        answered += response.isComplete && (response.status() == 200 || response.status() == 503) ? 1 : 0;
+    }
+    CHECK(answered == connections.size());
+    CHECK(daemon.waitForExit() == 0);
+}
+
+// Guards against a daemon that was paused for seconds and then sends requests to a target that left meanwhile, because
+// its rows are as old as the pause.
+TEST_CASE_METHOD(EntryFixture, "Entry_PausedWhileATargetLeaves_SendsItNothingAfterwards")
+{
+    auto& leaving = addTarget("t1", respondComplete);
+    auto& staying = addTarget("t2", respondComplete);
+    staying.load = "1,0,16,200"; // Makes the daemon choose the other one first.
+    auto& daemon = startDaemon();
+    CHECK(call("GET", "/read/1").status() == 200);
+    CHECK(leaving.runs == 1);
+    daemon.stop();
+    registerTarget(leaving, "draining");
+    std::this_thread::sleep_for(3s);
+    std::vector<RawConnection> connections;
+    for (unsigned index = 0; index < 8; ++index) {
+        connections.push_back(daemon.connect());
+        connections.back().send(requestText("GET", "/read/1", "waiting" + std::to_string(index)));
+    }
+    daemon.resume();
+    for (auto& connection : connections)
+        CHECK(connection.readResponse().body == "whole");
+    CHECK(leaving.runs == 1);
+    CHECK(staying.runs == 8);
+}
