Tests: Let scripted targets read the bodies of requests

Entry_DamagedRequests_DoNotHarmOtherCallers failed once beside other tests: the target saw 'abcGET /health'. Traced: the script answers an order without reading its body, so a later request on the connection stands behind these three bytes. The daemon had sent the request as it should. The targets of the fixture now read a body of stated length; no check changes.

--- a/Tests/comfreysaild/EntryFixture.cpp
+++ b/Tests/comfreysaild/EntryFixture.cpp
@@ -11,6 +11,13 @@
     "tls":false,"cold-start-s":3,"cold-per-s":4.8}],"limits":{"max-header-bytes":16384,"max-body-bytes":1000000,
     "header-timeout-s":3,"idle-timeout-s":15}})";
 
+size_t contentLengthOf(std::string const& head)
+{
+    std::string const name = "\r\nContent-Length: ";
+    auto const begin = head.find(name);
+    return begin == std::string::npos ? 0 : std::stoul(head.substr(begin + name.size()));
+}
+
 }
 
 EntryTarget::EntryTarget(std::string id, ScriptedTarget::Script script)
@@ -28,7 +35,11 @@
             return true;
         }
         ++runs;
-        return this->script(connection, head);
+        bool const keepsOpen = this->script(connection, head);
+        // The body would otherwise stand before the next head on this connection.
+        if (keepsOpen)
+            connection.readExactly(contentLengthOf(head));
+        return keepsOpen;
     });
 }
 
