LibTraffic: Count the evidence on a move once for each daemon

While a third of the VMs is turned away by the store, daemons change their sources and ask each other, so sums went in circles: the reader counted 68,385 requests of the old version at 7.8 s where about 5,000 had been made. In this, old and early counts outweigh new ones, and the excess of slow responses stayed below its limit. Ruled out: lost evidence; the sends in the log gave 44 slow of 169 by 9 s, enough for a verdict. Change: a ledger keeps the counts for each daemon that observed them. They only grow, so a merge on any way is idempotent. Followers send what has changed, and all of it every 2 s. Readers without the store judge by the ledger too. Of many followers that read the store, about six at a time advance moves instead of all. Older builds ignore the new parameter; during a roll-out of this change evidence is counted among daemons of one build only.

--- a/Libraries/LibTraffic/Traffic.h
+++ b/Libraries/LibTraffic/Traffic.h
@@ -7,6 +7,7 @@
 #include <LibTraffic/CallerTimeoutEstimate.h>
 #include <LibTraffic/ColdTargetRateLimiter.h>
 #include <LibTraffic/DirectoryEntry.h>
+#include <LibTraffic/EvidenceLedger.h>
 #include <LibTraffic/MoveJudge.h>
 #include <LibTraffic/PauseDetector.h>
 #include <LibTraffic/Placement.h>
--- a/Services/comfreysaild/EntryDaemon.cpp
+++ b/Services/comfreysaild/EntryDaemon.cpp
@@ -29,6 +29,9 @@
 // Time for a request that is still being received when the last active request ends.
 constexpr auto lastRequestsGrace = 100ms;
 
+// The requests of other daemons carry evidence on moves, about 25 bytes for each daemon.
+constexpr size_t maxRelayHeaderBytes = size_t { 64 } * 1024;
+
 // Used when the settings have no grace time.
 constexpr auto defaultGrace = std::chrono::hours(24);
 // Part of the grace time that is kept for stopping the process.
@@ -73,7 +76,9 @@
         [this](HTTP::ServerExchange& exchange) { return m_handler.handle(exchange); });
     m_adminServer = HTTP::Server::create(m_context, serverOptions(m_settings, m_settings.admin),
         [this](HTTP::ServerExchange& exchange) { return handleAdmin(exchange); });
-    m_relayServer = HTTP::Server::create(m_context, serverOptions(m_settings, m_settings.control),
+    auto relayOptions = serverOptions(m_settings, m_settings.control);
+    relayOptions.limits.maxHeaderBytes = std::max(relayOptions.limits.maxHeaderBytes, maxRelayHeaderBytes);
+    m_relayServer = HTTP::Server::create(m_context, std::move(relayOptions),
         [this](HTTP::ServerExchange& exchange) { return m_relay.handle(exchange); });
     for (auto const& server : { m_adminServer, m_relayServer, m_callerServer }) {
         if (auto started = server->start(); isError(started))
--- a/Services/comfreysaild/EntryHandler.cpp
+++ b/Services/comfreysaild/EntryHandler.cpp
@@ -400,13 +400,15 @@
     if (found == m_state.moves.end() || !isEvidence)
         return;
     auto& progress = found->second;
-    auto& side = target.version == progress.move.toVersion ? progress.newVersion : progress.oldVersion;
+    auto& evidence = progress.evidence;
+    auto& side = target.version == progress.move.toVersion ? evidence.newVersion : evidence.oldVersion;
     ++side.requests;
     if (verdict == ResponseVerdict::Failed)
         ++side.failures;
     auto const latencyTarget = request.route->latencyTarget;
     if (latencyTarget.count() > 0 && Core::monotonicNow() - request.sentAt > latencyTarget)
         ++side.slow;
+    m_state.evidence.note(progress.move.orderedAt, m_state.evidenceOrigin, evidence);
 }
 
 void EntryHandler::noteFault(EntryRequest const& request, RegisteredTarget const& target, ResponseVerdict verdict)
--- a/Services/comfreysaild/EntryState.h
+++ b/Services/comfreysaild/EntryState.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 
@@ -16,12 +17,9 @@
     Traffic::VersionMove move;
     Core::Instant firstSeenAt {};
     Traffic::MoveState state { Traffic::MoveState::Running };
-    uint64_t resultRevision { 0 };       ///< Revision of the store row with the result; 0 for none.
-    uint64_t sentToNewVersion { 0 };     ///< Requests that this daemon sent to the new version.
-    Traffic::VersionEvidence newVersion; ///< Observed by this daemon.
-    Traffic::VersionEvidence oldVersion;
-    Traffic::VersionEvidence newVersionTotal; ///< Sum over all daemons; only daemons that read the store have it.
-    Traffic::VersionEvidence oldVersionTotal;
+    uint64_t resultRevision { 0 };   ///< Revision of the store row with the result; 0 for none.
+    uint64_t sentToNewVersion { 0 }; ///< Requests that this daemon sent to the new version.
+    Traffic::MoveEvidence evidence;  ///< Observed by this daemon.
 };
 
 /// What an entry daemon knows about the system. Not thread safe: the daemon runs on one thread.
@@ -37,7 +35,9 @@
     uint64_t planRowRevision { 0 };                   ///< Revision of the store row that holds the plan.
     std::set<std::string, std::less<>> zonesOutOfService;
     std::map<std::string, MoveInProgress, std::less<>> moves; ///< By service.
-    std::map<std::string, uint64_t, std::less<>> verdicts;    ///< Revision of the move order judged bad, by service.
+    Traffic::EvidenceLedger evidence;                         ///< Of all daemons, as far as it arrived here.
+    Traffic::EvidenceLedger::Origin evidenceOrigin { std::random_device {}() };
+    std::map<std::string, uint64_t, std::less<>> verdicts; ///< Revision of the move order judged bad, by service.
     Traffic::TargetDirectory directory;
     Traffic::PauseDetector pauses;
     bool hasReadTargets { false };
--- a/Services/comfreysaild/MoveController.cpp
+++ b/Services/comfreysaild/MoveController.cpp
@@ -2,7 +2,6 @@
 
 #include <boost/asio/steady_timer.hpp>
 #include <random>
-#include <sstream>
 
 namespace Comfreysail::Daemon {
 
@@ -10,7 +9,6 @@
 using HTTP::awaitable;
 using Platform::StoreRow;
 using Traffic::MoveState;
-using Traffic::VersionEvidence;
 
 namespace {
 
@@ -19,31 +17,6 @@
 constexpr int maxResultDelayMilliseconds = 250;
 constexpr unsigned maxResultAttempts = 3;
 
-std::string evidenceText(uint64_t orderedAt, VersionEvidence const& newVersion, VersionEvidence const& oldVersion)
-{
-    std::string text = std::to_string(orderedAt);
-    for (auto const* evidence : { &newVersion, &oldVersion }) {
-        for (auto const number : { evidence->requests, evidence->failures, evidence->slow })
-            text += " " + std::to_string(number);
-    }
-    return text;
-}
-
-/// Parses the result of evidenceText(). Returns the evidence on the new and the old version, or std::nullopt if the
-/// text is invalid or about another move order.
-std::optional<std::pair<VersionEvidence, VersionEvidence>> parseEvidence(std::string const& text, uint64_t orderedAt)
-{
-    std::istringstream stream(text);
-    uint64_t move = 0;
-    std::pair<VersionEvidence, VersionEvidence> evidence;
-    stream >> move;
-    for (auto* side : { &evidence.first, &evidence.second })
-        stream >> side->requests >> side->failures >> side->slow;
-    if (!stream || move != orderedAt)
-        return std::nullopt;
-    return evidence;
-}
-
 }
 
 MoveController::MoveController(asio::io_context& context, StoreReader& reader, Relay& relay, RowAdopter& adopter,
@@ -87,9 +60,8 @@
     auto found = m_state.moves.find(service);
     if (found == m_state.moves.end() || found->second.state != MoveState::Running)
         co_return;
-    auto const own = m_relay.evidence(Core::monotonicNow())[service];
     auto const orderedAt = found->second.move.orderedAt;
-    auto text = evidenceText(orderedAt, own.first, own.second);
+    auto text = m_state.evidence.textOf(orderedAt);
     if (m_writtenEvidence[service] != text) {
         StoreRow row { service, m_vmName, text, 0, std::string(Platform::Table::evidence) };
         bool const isWritten = co_await m_reader.write(std::move(row), false);
@@ -97,17 +69,48 @@
             m_writtenEvidence[service] = text;
     }
     auto const rows = co_await m_reader.readRows(Platform::Table::evidence, service);
-    found = m_state.moves.find(service);
-    if (found == m_state.moves.end())
-        co_return;
-    auto sum = own;
-    for (auto const& row : rows.value_or(std::vector<StoreRow> {})) {
-        auto const evidence = parseEvidence(row.value, orderedAt);
-        if (evidence && row.key != m_vmName)
-            sum = { sum.first + evidence->first, sum.second + evidence->second };
-    }
-    found->second.newVersionTotal = sum.first;
-    found->second.oldVersionTotal = sum.second;
+    for (auto const& row : rows.value_or(std::vector<StoreRow> {}))
+        m_state.evidence.merge(row.value);
+}
+
+bool MoveController::judge(std::string const& service)
+{
+    auto const found = m_state.moves.find(service);
+    if (found == m_state.moves.end() || found->second.state != MoveState::Running)
+        return false;
+    auto const& move = found->second.move;
+    auto const elapsed = Core::monotonicNow() - found->second.firstSeenAt;
+    auto const [newVersion, oldVersion] = m_state.evidence.total(move.orderedAt);
+    bool const isTrial = Traffic::isTrial(move, elapsed, {});
+    bool const isBad = Traffic::isNewVersionBad(newVersion, oldVersion, isTrial, {});
+    Telemetry::EventLine(isBad ? "move_judged_bad" : "move_weighed")
+        .add("service", service)
+        .add("to", move.toVersion)
+        .add("elapsed_ms", std::chrono::duration_cast<std::chrono::milliseconds>(elapsed).count())
+        .add("trial", isTrial)
+        .add("requests", newVersion.requests)
+        .add("failures", newVersion.failures)
+        .add("slow", newVersion.slow)
+        .add("old_requests", oldVersion.requests)
+        .add("old_failures", oldVersion.failures)
+        .add("old_slow", oldVersion.slow)
+        .logInfo();
+    if (!isBad)
+        return false;
+    // The bad version gets no more requests, even if the result cannot be written now.
+    noteVerdict(m_state, service, move.orderedAt);
+    m_adopter.adoptDecisions();
+    m_relay.noteChange();
+    return true;
+}
+
+void MoveController::judgeMoves()
+{
+    std::vector<std::string> services;
+    for (auto const& [service, progress] : m_state.moves)
+        services.push_back(service);
+    for (auto const& service : services)
+        judge(service);
 }
 
 awaitable<void> MoveController::decide(std::string service)
@@ -122,25 +125,11 @@
             co_await writeResult(service, progress.state);
         co_return;
     }
-    auto const& newVersion = progress.newVersionTotal;
     auto const elapsed = Core::monotonicNow() - progress.firstSeenAt;
-    bool const isTrial = Traffic::isTrial(progress.move, elapsed, {});
-    if (Traffic::isNewVersionBad(newVersion, progress.oldVersionTotal, isTrial, {})) {
-        Telemetry::EventLine("move_judged_bad")
-            .add("service", service)
-            .add("to", progress.move.toVersion)
-            .add("requests", newVersion.requests)
-            .add("failures", newVersion.failures)
-            .add("slow", newVersion.slow)
-            .logInfo();
-        // The bad version gets no more requests, even if the result cannot be written now.
-        noteVerdict(m_state, service, progress.move.orderedAt);
-        m_adopter.adoptDecisions();
-        m_relay.noteChange();
+    if (judge(service))
         co_await writeResult(service, MoveState::RolledBack);
-    } else if (Traffic::isFinished(progress.move, elapsed, {})) {
+    else if (Traffic::isFinished(progress.move, elapsed, {}))
         co_await writeResult(service, MoveState::Completed);
-    }
 }
 
 awaitable<void> MoveController::writeResult(std::string service, MoveState state)
--- a/Services/comfreysaild/MoveController.h
+++ b/Services/comfreysaild/MoveController.h
@@ -14,8 +14,14 @@
     /// Processes all running moves once. Call it only on a daemon that reads the store.
     HTTP::awaitable<void> advanceMoves();
 
+    /// Judges the running moves by the evidence that arrived here, without the store. Call it on a reader that cannot
+    /// reach the store.
+    void judgeMoves();
+
 private:
     HTTP::awaitable<void> exchangeEvidence(std::string service);
+    /// Returns true if the new version is judged bad now.
+    bool judge(std::string const& service);
     HTTP::awaitable<void> decide(std::string service);
     HTTP::awaitable<void> writeResult(std::string service, Traffic::MoveState);
     HTTP::awaitable<void> pause(Core::Duration);
--- a/Services/comfreysaild/Relay.cpp
+++ b/Services/comfreysaild/Relay.cpp
@@ -14,7 +14,6 @@
 namespace asio = boost::asio;
 using Core::Instant;
 using HTTP::awaitable;
-using Traffic::VersionEvidence;
 using namespace std::chrono_literals;
 
 namespace {
@@ -30,20 +29,14 @@
 constexpr size_t maxRowsBytes = 2 * maxResponseBytesInFlight;
 // A greater age is invalid, and could overflow when it is converted to microseconds.
 constexpr std::chrono::duration<uint64_t, std::milli> maxAge = std::chrono::hours(24);
-// A follower that has not polled for this long now polls another daemon, which counts its evidence instead.
-constexpr auto followerTimeout = 3s;
+// How often all evidence is sent, and not only what has changed: the other daemon may not have known the move before.
+constexpr auto fullEvidenceInterval = 2s;
 
 // Names the compression of a row, in requests and in responses.
 constexpr char const* compressedField = "zstd";
 
 std::string encoded(std::string_view text) { return boost::urls::encode(text, boost::urls::unreserved_chars); }
 
-std::string numbersOf(VersionEvidence const& evidence)
-{
-    return std::to_string(evidence.requests) + " " + std::to_string(evidence.failures) + " "
-        + std::to_string(evidence.slow);
-}
-
 uint64_t unsignedOf(boost::json::object const& object, std::string_view name)
 {
     auto const* const value = object.if_contains(name);
@@ -101,42 +94,12 @@
         timer->cancel();
 }
 
-std::map<std::string, std::pair<VersionEvidence, VersionEvidence>, std::less<>> Relay::evidence(Instant now) const
+std::string Relay::evidenceText(std::string const& member, Instant now)
 {
-    std::map<std::string, std::pair<VersionEvidence, VersionEvidence>, std::less<>> sums;
-    for (auto const& [service, progress] : m_state.moves)
-        sums[service] = { progress.newVersion, progress.oldVersion };
-    for (auto const& [name, follower] : m_followers) {
-        if (now - follower.polledAt > followerTimeout)
-            continue;
-        std::istringstream stream(follower.evidence);
-        std::string service;
-        uint64_t orderedAt = 0;
-        VersionEvidence newVersion;
-        VersionEvidence oldVersion;
-        while (stream >> service >> orderedAt >> newVersion.requests >> newVersion.failures >> newVersion.slow
-            >> oldVersion.requests >> oldVersion.failures >> oldVersion.slow) {
-            auto const found = m_state.moves.find(service);
-            if (found == m_state.moves.end() || found->second.move.orderedAt != orderedAt)
-                continue;
-            auto& sum = sums[service];
-            sum = { sum.first + newVersion, sum.second + oldVersion };
-        }
-    }
-    return sums;
-}
-
-std::string Relay::evidenceText(Instant now) const
-{
-    std::string text;
-    for (auto const& [service, sum] : evidence(now)) {
-        auto const& progress = m_state.moves.find(service)->second;
-        if (progress.state != Traffic::MoveState::Running)
-            continue;
-        text += service + " " + std::to_string(progress.move.orderedAt) + " " + numbersOf(sum.first) + " "
-            + numbersOf(sum.second) + " ";
-    }
-    return text;
+    bool const isFull = member != m_evidenceSentTo || now - m_allEvidenceSentAt >= fullEvidenceInterval;
+    if (isFull)
+        m_allEvidenceSentAt = now;
+    return m_state.evidence.textSince(isFull ? 0 : m_sentEvidenceVersion);
 }
 
 awaitable<RelayResult> Relay::poll(std::string member, HTTP::Endpoint endpoint, RelayQuery query)
@@ -146,7 +109,8 @@
     auto target = "/rows?name=" + encoded(m_vmName)
         + "&revisions=" + encoded(numbersText(m_state.sharedRows.knownRevisions()))
         + "&verdicts=" + encoded(numbersText(m_state.verdicts)) + "&wait_ms=" + std::to_string(wait)
-        + "&encoding=" + compressedField + "&evidence=" + encoded(evidenceText(now));
+        + "&encoding=" + compressedField + "&counts=" + encoded(evidenceText(member, now));
+    auto const evidenceVersion = m_state.evidence.version();
     auto connection = m_pool.take(endpoint, HTTP::ReusePolicy::Any, now);
     if (!connection)
         connection = m_pool.create(endpoint);
@@ -158,6 +122,8 @@
         co_return RelayResult::Failed;
     auto const result
         = response && response->head.status == 200 ? applyResponse(member, response->body) : RelayResult::Failed;
+    m_evidenceSentTo = result == RelayResult::Failed ? std::string() : member;
+    m_sentEvidenceVersion = evidenceVersion;
     co_return result;
 }
 
@@ -277,7 +243,7 @@
             std::from_chars(found->second.data(), found->second.data() + found->second.size(), number);
         return number;
     };
-    m_followers[parameters["name"]] = { parameters["evidence"], Core::monotonicNow() };
+    m_state.evidence.merge(parameters["counts"]);
     if (m_responseBytesInFlight >= maxResponseBytesInFlight) {
         co_await refuseBusy(exchange);
         co_return;
--- a/Services/comfreysaild/Relay.h
+++ b/Services/comfreysaild/Relay.h
@@ -24,7 +24,7 @@
 
 /// Distributes the shared rows from daemon to daemon, in a tree whose roots read the store. Each daemon long-polls one
 /// that is closer to the store. The request carries the evidence on moves between versions that the requesting daemon
-/// and its followers have collected.
+/// knows, its own and that of the daemons that polled it.
 class Relay {
 public:
     Relay(boost::asio::io_context&, HTTP::ConnectionPool&, EntryState&, std::string vmName);
@@ -38,14 +38,9 @@
     /// Wakes the requests that wait for a change. Call it after each change of the shared rows.
     void noteChange();
 
-    /// Evidence on the moves, summed over this daemon and its direct and indirect followers. Maps the service to the
-    /// evidence on the new and the old version.
-    std::map<std::string, std::pair<Traffic::VersionEvidence, Traffic::VersionEvidence>, std::less<>> evidence(
-        Core::Instant now) const;
-
 private:
     RelayResult applyResponse(std::string const& member, std::string const& body);
-    std::string evidenceText(Core::Instant now) const;
+    std::string evidenceText(std::string const& member, Core::Instant now);
     std::string responseText(Traffic::SharedChanges const&, bool isCompressionAccepted);
     HTTP::awaitable<void> refuseBusy(HTTP::ServerExchange&);
     bool knowsVerdicts(std::string_view verdictText) const;
@@ -58,11 +53,9 @@
 
     size_t m_responseBytesInFlight { 0 }; ///< Size of the responses that are being sent.
 
-    struct Follower {
-        std::string evidence;
-        Core::Instant polledAt {};
-    };
-    std::map<std::string, Follower, std::less<>> m_followers;
+    std::string m_evidenceSentTo; ///< The daemon that was polled last; empty if it did not respond.
+    uint64_t m_sentEvidenceVersion { 0 };
+    Core::Instant m_allEvidenceSentAt {};
     std::set<boost::asio::steady_timer*> m_waitingTimers;
 };
 
--- a/Services/comfreysaild/RowAdopter.cpp
+++ b/Services/comfreysaild/RowAdopter.cpp
@@ -134,6 +134,10 @@
         Telemetry::EventLine("move_ordered").add("service", move.service).add("to", move.toVersion).logInfo();
     }
     std::erase_if(m_state.moves, [&](auto const& item) { return !present.contains(item.first); });
+    std::set<Traffic::EvidenceLedger::Move> orders;
+    for (auto const& [service, progress] : m_state.moves)
+        orders.insert(progress.move.orderedAt);
+    m_state.evidence.setMoves(orders);
 }
 
 void RowAdopter::adoptResults()
--- a/Services/comfreysaild/StoreFollower.cpp
+++ b/Services/comfreysaild/StoreFollower.cpp
@@ -48,6 +48,8 @@
 // region responds sooner.
 constexpr RelayQuery queryAtStart { .wait = 0ms, .timeout = 60ms };
 constexpr auto pauseWithoutRows = 30ms;
+// Expected number of followers that advance the moves in one round of store reads by all followers.
+constexpr double followersThatAdvanceMoves = 6;
 // Backoff after a failed store read, so that an unavailable store is not overloaded by all daemons.
 constexpr auto minStoreBackoff = 500ms;
 constexpr auto maxStoreBackoffAtStart = 2s;
@@ -61,6 +63,12 @@
     return Core::Duration(spread(generator));
 }
 
+double randomUnit()
+{
+    thread_local std::mt19937 generator { std::random_device {}() };
+    return std::uniform_real_distribution<double>(0, 1)(generator);
+}
+
 std::optional<HTTP::Endpoint> parseEndpoint(std::string_view text)
 {
     auto const colon = text.rfind(':');
@@ -151,6 +159,16 @@
     return !waitsForStandbyReaders || now - m_staleSince.value_or(now) >= Traffic::RelayOptions().standbyHeadStart;
 }
 
+bool StoreFollower::mayAdvanceMoves(Traffic::RelayRole role) const
+{
+    if (role != Traffic::RelayRole::Follower)
+        return true;
+    // While the readers are cut off, many followers may read the store. A few of them suffice to advance the moves,
+    // each of which takes further store calls.
+    auto const count = static_cast<double>(std::max<size_t>(members().size(), 1));
+    return randomUnit() < followersThatAdvanceMoves / count;
+}
+
 awaitable<void> StoreFollower::follow()
 {
     if (m_isFirstStart && !isSeed())
@@ -166,11 +184,14 @@
             isFresh = co_await readStore();
             if (isFresh) {
                 m_storeBackoff = {};
-                co_await m_moveController.advanceMoves();
+                if (mayAdvanceMoves(currentRole))
+                    co_await m_moveController.advanceMoves();
                 auto const used = Core::monotonicNow() - now;
                 co_await pause(std::max<Core::Duration>(readInterval - used, pauseAfterFailure));
             } else {
                 m_storeBackoff = minStoreBackoff;
+                if (currentRole != Traffic::RelayRole::Follower)
+                    m_moveController.judgeMoves();
                 if (currentRole == Traffic::RelayRole::Follower)
                     m_storeBackoff += randomUpTo(
                         (m_state.hasReadTargets ? maxStoreBackoff : maxStoreBackoffAtStart) - minStoreBackoff);
--- a/Services/comfreysaild/StoreFollower.h
+++ b/Services/comfreysaild/StoreFollower.h
@@ -22,6 +22,7 @@
     bool isSeed() const;
     Traffic::RelayRole role() const;
     bool mayReadStore(Traffic::RelayRole, Core::Instant now) const;
+    bool mayAdvanceMoves(Traffic::RelayRole) const;
     void noteFresh();
     HTTP::awaitable<bool> pollOthers();
     HTTP::awaitable<RelayResult> pollOne(Traffic::RelayMember source, bool mayWait);
--- a/Tests/comfreysaild/TestEntryFuzz.cpp
+++ b/Tests/comfreysaild/TestEntryFuzz.cpp
@@ -116,8 +116,8 @@
     CHECK(daemon().log().find("event=relay_answer_refused") != std::string::npos);
     for (int round = 0; round < rounds; ++round) {
         auto connection = RawConnection::connectTo(daemon().controlPort());
-        connection.send(mutated("GET /rows?name=vm&revisions=op%203%20servers%204&verdicts=s%201&wait_ms=0&evidence="
-                                "s%201%202%203%204%205%206%207 HTTP/1.1\r\nHost: a\r\n\r\n",
+        connection.send(mutated("GET /rows?name=vm&revisions=op%203%20servers%204&verdicts=s%201&wait_ms=0&counts="
+                                "1~a.1.2.3.4.5.6 HTTP/1.1\r\nHost: a\r\n\r\n",
             generator));
     }
     CHECK(call("GET", "/read/1").body == "whole");
