comfreysaild: Use no stale rows of another daemon right after a start

Shown: a daemon that restarts beside one that was cut off for a minute takes its rows, serves a withdrawn route and sends all ten requests to a target that had left, until it reads the store some 150 ms later, or for as long as it cannot. Change: until it has rows, a daemon adopts stale ones only after the store did not respond either, or 500 ms after its start. In a long outage of the store a restarted daemon serves up to a second later than before. After: Entry_RestartWithAStalePeer_UsesNothingThatWasWithdrawn passes. Also tested, and found not to happen: an answer that broke off at any byte, in each framing, orderly or by a reset, and a streamed one, never looks complete (Response_BrokenOffAtAnyByte_IsNotComplete, Entry_LargeResponseBrokenOff...); the work of a target that is only silent goes on and is not started again (Entry_TargetSilentWhileItRunsARequest...).

--- a/Services/comfreysaild/StoreFollower.cpp
+++ b/Services/comfreysaild/StoreFollower.cpp
@@ -48,6 +48,9 @@
 // region responds sooner.
 constexpr RelayQuery queryAtStart { .wait = 0ms, .timeout = 60ms };
 constexpr auto pauseWithoutRows = 30ms;
+// After a start, stale rows of another daemon are used only if the store does not respond either, or after this time:
+// that daemon may have been cut off while targets left and routes were withdrawn.
+constexpr auto staleRowsDelay = 500ms;
 // Expected number of followers that advance the moves in one round of store reads by all followers.
 constexpr double followersThatAdvanceMoves = 6;
 // Backoff after a failed store read, so that an unavailable store is not overloaded by all daemons.
@@ -134,6 +137,12 @@
     m_relay.noteChange();
 }
 
+bool StoreFollower::mayAdoptRows(RelayResult result, Instant now) const
+{
+    return m_state.hasReadTargets || result == RelayResult::Fresh || m_storeTriedAt != Instant {}
+    || now - m_startedAt >= staleRowsDelay;
+}
+
 bool StoreFollower::isSeed() const { return std::ranges::find(m_seeds, m_self.endpoint) != m_seeds.end(); }
 
 Traffic::RelayRole StoreFollower::role() const
@@ -287,7 +296,8 @@
     auto result = co_await m_relay.poll(source.name, *endpoint, query);
     if (result == RelayResult::Incomplete)
         result = co_await m_relay.poll(source.name, *endpoint, immediateQuery);
-    adoptRows();
+    if (mayAdoptRows(result, Core::monotonicNow()))
+        adoptRows();
     if (result == RelayResult::Fresh)
         m_state.pauses.noteRefreshed(startedAt);
     if (result == RelayResult::Failed) {
--- a/Services/comfreysaild/StoreFollower.h
+++ b/Services/comfreysaild/StoreFollower.h
@@ -31,6 +31,7 @@
     HTTP::awaitable<void> registerSelf();
     HTTP::awaitable<void> pause(Core::Duration);
     void adoptRows();
+    bool mayAdoptRows(RelayResult, Core::Instant now) const;
     std::vector<Traffic::RelayMember> members() const;
 
     boost::asio::io_context& m_context;
--- a/Tests/comfreysaild/TestEntryResponses.cpp
+++ b/Tests/comfreysaild/TestEntryResponses.cpp
@@ -147,6 +147,26 @@
     CHECK(other.runs == 1);
 }
 
+// A body above the buffered size is passed on as it arrives. Guards against ending it properly towards the caller when
+// the target broke off.
+TEST_CASE_METHOD(EntryFixture, "Entry_LargeResponseBrokenOff_IsIncompleteForTheCaller")
+{
+    bool const isChunked = GENERATE(false, true);
+    bool const isReset = GENERATE(false, true);
+    addTarget("t1", [&](RawConnection& connection, std::string const& head) {
+        std::string const part(size_t { 3 } << 20, 'x');
+        auto const framing
+            = isChunked ? "Transfer-Encoding: chunked\r\n\r\n600000\r\n" : "Content-Length: 6000000\r\n\r\n";
+        connection.send("HTTP/1.1 200 OK\r\n" + signatureFields(head) + framing + part);
+        std::this_thread::sleep_for(50ms);
+        if (isReset)
+            connection.reset();
+        return false;
+    });
+    startDaemon();
+    CHECK_FALSE(call("GET", "/files/1").isComplete);
+}
+
 // A response without a length ends with its connection. Guards against delivering it with a length, which would make a
 // truncated one look complete.
 TEST_CASE_METHOD(EntryFixture, "Entry_ResponseWithoutLength_IsDeliveredWithoutLength")
--- a/Tests/comfreysaild/TestEntryState.cpp
+++ b/Tests/comfreysaild/TestEntryState.cpp
@@ -425,3 +425,65 @@
     CHECK(leaving.runs == 1);
     CHECK(staying.runs == 8);
 }
+
+// Guards against a restarted daemon that uses a server which had left and a route which had been withdrawn: the first
+// daemon that responds to it was cut off from the store and still has the rows of before.
+TEST_CASE_METHOD(EntryFixture, "Entry_RestartWithAStalePeer_UsesNothingThatWasWithdrawn")
+{
+    auto& left = addTarget("t1", respondComplete);
+    writePlan(2, "," + routeText("withdrawn", "/withdrawn/", "safe"));
+    auto const& first = startDaemon();
+    auto connection = first.connect();
+    connection.send("GET /withdrawn/1 HTTP/1.1\r\nHost: orders.test\r\nX-Comfreysail-Request-Id: a1\r\n\r\n");
+    CHECK(connection.readResponse().status() == 200);
+    auto control = RawConnection::connectTo(first.controlPort());
+    control.send("GET /rows?name=vm HTTP/1.1\r\nHost: a\r\n\r\n");
+    auto rows = control.readResponse().body;
+    auto const age = rows.find("\"age_ms\":") + 9;
+    rows.replace(age, rows.find(',', age) - age, "60000");
+    ScriptedTarget const stalePeer(
+        [&](RawConnection& peer, std::string const&) { return peer.send(wholeResponse(rows)); });
+
+    removeTarget(left.id);
+    writePlan(3);
+    auto& joined = addTarget("t2", respondComplete);
+    DaemonOptions options;
+    options.vmName = "entry-2";
+    options.seedPorts = { stalePeer.port() };
+    left.runs = 0;
+    auto const& second = startDaemon(options);
+    for (unsigned index = 0; index < 5; ++index) {
+        auto caller = second.connect();
+        caller.send(requestText("GET", "/read/1", "b" + std::to_string(index)));
+        caller.send(requestText("GET", "/withdrawn/1", "c" + std::to_string(index)));
+        CHECK(caller.readResponse().status() == 200);
+        CHECK(caller.readResponse().status() == 404);
+    }
+    CHECK(left.runs == 0);
+    CHECK(joined.runs == 5);
+    CHECK(stalePeer.requests() > 0);
+}
+
+// Guards against giving up, or starting again elsewhere, the work of a target that is only silent: its registration
+// disappears while it runs a request, and it does not respond to load probes.
+TEST_CASE_METHOD(EntryFixture, "Entry_TargetSilentWhileItRunsARequest_ItsWorkIsWaitedFor")
+{
+    auto& silent = addTarget("t1", [](RawConnection& connection, std::string const& head) {
+        std::this_thread::sleep_for(900ms);
+        connection.send(signedResponse(head, "whole"));
+        return true;
+    });
+    startDaemon();
+    auto order = daemon().connect();
+    order.send(requestText("POST", "/pay/1", "a1", "order"));
+    auto lookup = daemon().connect();
+    lookup.send(requestText("GET", "/read/1", "a2"));
+    CHECK(eventually([&] { return silent.runs == 2; }));
+    silent.isDown = true;
+    removeTarget(silent.id);
+    auto& other = addTarget("t2", respondComplete);
+    CHECK(order.readResponse().body == "whole");
+    CHECK(lookup.readResponse().body == "whole");
+    CHECK(silent.runs == 2);
+    CHECK(other.runs == 0);
+}
