comfreysaild: Compress all rows for a daemon that starts, once for many

Cause: after many VMs lose their power at once, each daemon asks a few seeds for all rows, which build and send the same text for each of them; a seed refuses while 8 MiB are in flight, and the daemon reads the store instead. Change: the rows in a response to a daemon without rows are one compressed text that is kept until a row changes.

--- a/Services/comfreysaild/Relay.cpp
+++ b/Services/comfreysaild/Relay.cpp
@@ -7,6 +7,7 @@
 #include <boost/url/parse.hpp>
 #include <boost/url/rfc/unreserved_chars.hpp>
 #include <charconv>
+#include <platform/Platform.h>
 #include <sstream>
 
 namespace Comfreysail::Daemon {
@@ -78,6 +79,19 @@
     return value.is_string() ? std::string(value.get_string().data(), value.get_string().size()) : std::string();
 }
 
+/// Restores rows that are sent as one compressed text. Returns null if it is damaged or too large.
+boost::json::value restoreRows(boost::json::object const& compressed)
+{
+    auto const* const encoded = compressed.if_contains(compressedField);
+    auto const frame = Platform::decodeBase64(encoded ? textOf(*encoded) : std::string());
+    if (isError(frame))
+        return nullptr;
+    auto const text = Core::decompress(valueOf(frame), maxRowsBytes);
+    boost::system::error_code error;
+    auto rows = boost::json::parse(text.value_or(""), error);
+    return error ? boost::json::value() : rows;
+}
+
 }
 
 Relay::Relay(asio::io_context& context, HTTP::ConnectionPool& pool, EntryState& state, std::string vmName)
@@ -133,7 +147,12 @@
     auto const parsed = boost::json::parse(body, error);
     auto const* const object = error ? nullptr : parsed.if_object();
     auto const field = [&](std::string_view name) { return object ? object->if_contains(name) : nullptr; };
-    auto const* const rows = field("rows");
+    boost::json::value restoredRows;
+    auto const* rows = field("rows");
+    if (rows && rows->is_object()) {
+        restoredRows = restoreRows(rows->get_object());
+        rows = &restoredRows;
+    }
     auto const* const revisions = field("revisions");
     auto const* const verdicts = field("verdicts");
     auto const* const complete = field("complete");
@@ -185,7 +204,7 @@
     return age <= maxFreshAge ? RelayResult::Fresh : RelayResult::Stale;
 }
 
-std::string Relay::responseText(Traffic::SharedChanges const& changes, bool isCompressionAccepted)
+std::string Relay::responseText(Traffic::SharedChanges const& changes, bool isCompressionAccepted, bool isForNewDaemon)
 {
     boost::json::array rows;
     for (auto const& row : changes.rows) {
@@ -197,13 +216,24 @@
             entry.push_back(row.text ? boost::json::value(boost::json::string(*row.text)) : boost::json::value());
         rows.push_back(std::move(entry));
     }
+    boost::json::value allRows = std::move(rows);
+    // A daemon that starts gets all rows. After many daemons have lost their power at once, one response serves them
+    // all.
+    if (isCompressionAccepted && isForNewDaemon) {
+        if (m_rowsForNewDaemons.empty() || m_rowsForNewDaemonsVersion != m_state.sharedRows.version()) {
+            m_rowsForNewDaemons = Platform::encodeBase64(Core::compress(boost::json::serialize(allRows)));
+            m_rowsForNewDaemonsVersion = m_state.sharedRows.version();
+        }
+        allRows = boost::json::object { { compressedField, boost::json::string(m_rowsForNewDaemons) } };
+    }
     boost::json::array complete;
     for (auto const& table : changes.completeTables)
         complete.push_back(boost::json::string(table));
     auto const age = std::chrono::duration_cast<std::chrono::milliseconds>(Core::monotonicNow() - m_state.rowsReadAt);
-    return boost::json::serialize(boost::json::object { { "age_ms", age.count() },
-        { "revisions", jsonOf(changes.revisions) }, { "digests", jsonOf(changes.digests) },
-        { "complete", std::move(complete) }, { "rows", std::move(rows) }, { "verdicts", jsonOf(m_state.verdicts) } });
+    return boost::json::serialize(
+        boost::json::object { { "age_ms", age.count() }, { "revisions", jsonOf(changes.revisions) },
+            { "digests", jsonOf(changes.digests) }, { "complete", std::move(complete) }, { "rows", std::move(allRows) },
+            { "verdicts", jsonOf(m_state.verdicts) } });
 }
 
 bool Relay::knowsVerdicts(std::string_view verdictText) const
@@ -259,7 +289,7 @@
         changes = m_state.sharedRows.changesAfter(known);
     }
     // Daemons of older builds do not ask for compressed rows.
-    auto const text = responseText(changes, parameters["encoding"] == compressedField);
+    auto const text = responseText(changes, parameters["encoding"] == compressedField, known.empty());
     m_responseBytesInFlight += text.size();
     co_await exchange.respond(std::move(head), text);
     m_responseBytesInFlight -= text.size();
--- a/Services/comfreysaild/Relay.h
+++ b/Services/comfreysaild/Relay.h
@@ -41,7 +41,7 @@
 private:
     RelayResult applyResponse(std::string const& member, std::string const& body);
     std::string evidenceText(std::string const& member, Core::Instant now);
-    std::string responseText(Traffic::SharedChanges const&, bool isCompressionAccepted);
+    std::string responseText(Traffic::SharedChanges const&, bool isCompressionAccepted, bool isForNewDaemon);
     HTTP::awaitable<void> refuseBusy(HTTP::ServerExchange&);
     bool knowsVerdicts(std::string_view verdictText) const;
 
@@ -50,6 +50,8 @@
     EntryState& m_state;
     std::string m_vmName;
     CompressedRows m_compressedRows;
+    std::string m_rowsForNewDaemons; ///< All rows, compressed; empty if no daemon asked for them yet.
+    uint64_t m_rowsForNewDaemonsVersion { 0 };
 
     size_t m_responseBytesInFlight { 0 }; ///< Size of the responses that are being sent.
 
--- a/Tests/comfreysaild/TestEntryFuzz.cpp
+++ b/Tests/comfreysaild/TestEntryFuzz.cpp
@@ -105,8 +105,10 @@
         = R"({"age_ms":5,"revisions":{"op":1,"servers":1},"digests":{"op":1},)"
           R"("complete":["op"],"rows":[["op","config","1\n{}"],["op","y",{"zstd":"KLUv/SAFKQAAMQphYmM="}],["op","x",null]],)"
           R"("verdicts":{"s":1}})";
+    std::string const compressedAnswer = R"({"age_ms":5,"revisions":{"op":1},"digests":{"op":1},"complete":["op"],)"
+                                         R"("rows":{"zstd":"KLUv/SAFKQAAMQphYmM="},"verdicts":{}})";
     ScriptedTarget const peer([&](RawConnection& connection, std::string const&) {
-        connection.send(wholeResponse(mutated(answer, generator)));
+        connection.send(wholeResponse(mutated(generator() % 2 == 0 ? answer : compressedAnswer, generator)));
         return true;
     });
     DaemonOptions options;
