LibTraffic: Apply newer tables of a source beside an older one

Cause of a fault in this place, shown by a test: a daemon that has read the store itself, as all did in the outage before, has its own revisions of the tables that the readers read every 2 s only. It refused all rows of its sources as stale, new settings too, until they had read those tables again, and asked the store itself meanwhile, which kept it in that state. Change: tables are applied each by its own revision. Rows count as fresh by the two tables that serving takes. Before: SharedRows_SourceHasOneOlderTable_OthersAreApplied fails. After: it passes.

--- a/Libraries/LibTraffic/SharedRows.cpp
+++ b/Libraries/LibTraffic/SharedRows.cpp
@@ -66,41 +66,57 @@
     return hasChanged;
 }
 
+bool SharedRows::isOlder(SharedChanges const& changes, std::string_view table) const
+{
+    auto const sent = changes.revisions.find(table);
+    return (sent == changes.revisions.end() ? 0 : sent->second) < revisionOf(table);
+}
+
 ApplyResult SharedRows::apply(SharedChanges const& changes)
 {
-    auto const senderRevision = [&](std::string_view table) {
-        auto const sent = changes.revisions.find(table);
-        return sent == changes.revisions.end() ? 0 : sent->second;
-    };
-    bool const isOlder = std::ranges::any_of(
-        m_revisions, [&](auto const& known) { return senderRevision(known.first) < known.second; });
-    if (isOlder)
+    // Each table is as of its own read, so an older table of the sender does not make its other tables useless.
+    std::map<std::string_view, uint64_t> usable;
+    for (auto const& [table, revision] : changes.revisions) {
+        if (!isOlder(changes, table))
+            usable.emplace(table, revision);
+    }
+    if (usable.empty() && !m_revisions.empty())
         return ApplyResult::Stale;
     std::set<std::pair<std::string_view, std::string_view>> sent;
     for (auto const& row : changes.rows)
         sent.emplace(row.table, row.key);
-    for (auto const& table : changes.completeTables) {
+    for (auto const& [table, revision] : usable) {
+        if (!changes.completeTables.contains(table))
+            continue;
         std::vector<std::string> removed;
         for (auto const& [key, text] : this->table(table)) {
             if (!sent.contains({ table, key }))
                 removed.push_back(key);
         }
         for (auto const& key : removed)
-            set(table, key, std::nullopt, senderRevision(table));
+            set(table, key, std::nullopt, revision);
     }
-    for (auto const& row : changes.rows)
-        set(row.table, row.key, row.text, senderRevision(row.table));
-    for (auto const& [table, revision] : changes.revisions)
+    for (auto const& row : changes.rows) {
+        if (auto const found = usable.find(row.table); found != usable.end())
+            set(row.table, row.key, row.text, found->second);
+    }
+    bool isComplete = true;
+    for (auto const& [name, revision] : usable) {
+        std::string const table(name);
         m_revisions[table] = revision;
-    dropOldRemovals();
-    m_incomplete.clear();
-    m_snapshotTables.clear();
-    for (auto const& [table, digest] : changes.digests) {
+        m_incomplete.erase(table);
+        m_snapshotTables.erase(table);
+        auto const digest = changes.digests.find(table);
+        if (digest == changes.digests.end())
+            continue;
         m_snapshotTables.insert(table);
-        if (m_digests[table] != digest)
+        if (m_digests[table] != digest->second) {
             m_incomplete.insert(table);
+            isComplete = false;
+        }
     }
-    return m_incomplete.empty() ? ApplyResult::Applied : ApplyResult::Incomplete;
+    dropOldRemovals();
+    return isComplete ? ApplyResult::Applied : ApplyResult::Incomplete;
 }
 
 TableRevisions SharedRows::knownRevisions() const
--- a/Libraries/LibTraffic/SharedRows.h
+++ b/Libraries/LibTraffic/SharedRows.h
@@ -36,7 +36,7 @@
 /// Result of applying the rows of another daemon.
 enum class ApplyResult : uint8_t {
     Applied,
-    Stale,      ///< The rows are older than the own ones; nothing was changed.
+    Stale,      ///< All tables are older than the own ones; nothing was changed.
     Incomplete, ///< The digests differ from the sender's; the next request must ask for all rows.
 };
 
@@ -55,10 +55,13 @@
     /// page, and two daemons may have different rows at the same revision, so no digest is sent for the table.
     bool replaceTable(std::string_view table, Table const& rows, uint64_t revision, bool isSnapshot = true);
 
-    /// Applies the changes of another daemon. Changes from an older read than the own one are rejected, so that rows do
+    /// Applies the changes of another daemon. Tables from an older read than the own one are left out, so that rows do
     /// not revert when a daemon switches its source.
     ApplyResult apply(SharedChanges const&);
 
+    /// Returns true if the sender read the table before this daemon did, or not at all.
+    bool isOlder(SharedChanges const&, std::string_view table) const;
+
     /// Returns the changes that a daemon with these revisions does not have yet.
     SharedChanges changesAfter(TableRevisions const&) const;
 
--- a/Services/comfreysaild/Relay.cpp
+++ b/Services/comfreysaild/Relay.cpp
@@ -193,12 +193,16 @@
     // Verdicts are final, so they are applied even if the rows are stale.
     for (auto const& verdict : verdicts->get_object())
         noteVerdict(m_state, std::string(verdict.key()), unsignedOf(verdicts->get_object(), verdict.key()));
+    // Serving requests takes these two tables. Others may be older: a daemon that has read the store itself has its own
+    // revisions of them for up to two seconds, and must not refuse newer decisions of operators meanwhile.
+    bool const isOlder = m_state.sharedRows.isOlder(changes, Platform::Table::operators)
+        || m_state.sharedRows.isOlder(changes, Platform::Table::targets);
     auto const end = m_state.sharedRows.apply(changes);
     if (end == Traffic::ApplyResult::Incomplete) {
         Telemetry::EventLine("relay_rows_incomplete").add("member", member).logInfo();
         return RelayResult::Incomplete;
     }
-    if (end == Traffic::ApplyResult::Stale)
+    if (isOlder || end == Traffic::ApplyResult::Stale)
         return RelayResult::Stale;
     m_state.rowsReadAt = std::max(m_state.rowsReadAt, Core::monotonicNow() - Core::Duration(age));
     return age <= maxFreshAge ? RelayResult::Fresh : RelayResult::Stale;
--- a/Tests/LibTraffic/TestRelay.cpp
+++ b/Tests/LibTraffic/TestRelay.cpp
@@ -137,6 +137,24 @@
     CHECK_FALSE(follower.replaceTable("t", { { "a", "old" } }, 6));
 }
 
+// A daemon that has read the store itself knows one table in a newer read than its source. Guards against refusing the
+// source's newer rows of other tables, such as changed settings, until the source has read that table again.
+TEST_CASE_METHOD(RelayFixture, "SharedRows_SourceHasOneOlderTable_OthersAreApplied")
+{
+    source.replaceTable("settings", { { "a", "old" } }, 3);
+    source.replaceTable("members", { { "m", "old" } }, 4);
+    CHECK(synchronize());
+    follower.replaceTable("members", { { "m", "new" } }, 7);
+    source.replaceTable("settings", { { "a", "new" }, { "b", "new" } }, 9);
+    auto const changes = source.changesAfter(follower.knownRevisions());
+    CHECK(follower.isOlder(changes, "members"));
+    CHECK_FALSE(follower.isOlder(changes, "settings"));
+    CHECK(follower.apply(changes) == ApplyResult::Applied);
+    CHECK(follower.table("settings") == source.table("settings"));
+    CHECK(follower.table("members") == SharedRows::Table { { "m", "new" } });
+    CHECK(follower.revisionOf("members") == 7);
+}
+
 // A complete table replaces all rows; rows that it does not contain are removed.
 TEST_CASE_METHOD(RelayFixture, "SharedRows_CompleteTable_RemovesRowsThatItDoesNotContain")
 {
