Tests: Add interim responses without end

A target that sends interim responses until the caller closes, to an order and to a load probe. The limit of eight held before as well; no product code changes.

--- a/Tests/comfreysaild/TestEntryEndlessResponses.cpp
+++ b/Tests/comfreysaild/TestEntryEndlessResponses.cpp
@@ -18,6 +18,7 @@
     std::string start;               ///< Follows the status line and the fields that identify the response.
     std::string piece;               ///< Repeated without end.
     bool isCompleteBefore { false }; ///< The response is complete before the bytes without end.
+    bool hasFinalHead { true };      ///< The status line of a final response precedes `start`.
 };
 
 std::vector<EndlessCase> endlessCases()
@@ -32,6 +33,7 @@
         { "a chunk extension", chunked + "8;", "abcdefgh" },
         { "trailer fields", chunked + "0\r\n", "X-More: abcdefgh\r\n" },
         { "bytes behind the body", "Content-Length: 5\r\n\r\nabcde", "abcdefgh", true },
+        { "interim responses", "", "HTTP/1.1 103 Early Hints\r\n\r\n", false, false },
         { "bytes that are no response", "Content-Length: 0\r\n\r\n", std::string(8, '\0'), true },
     };
 }
@@ -59,12 +61,13 @@
 TEST_CASE_METHOD(EntryFixture, "Entry_ResponseWithoutEnd_EndsInTimeWithFlatMemory")
 {
     auto const cases = endlessCases();
-    auto const example = cases[GENERATE(range(0, 9))];
+    auto const example = cases[GENERATE(range(0, 10))];
     CAPTURE(example.name);
     std::atomic<unsigned> closed { 0 };
     auto& target = addTarget("t1", [&](RawConnection& connection, std::string const& head) {
-        auto const start = "HTTP/1.1 200 OK\r\nX-Comfreysail-Request-Id: " + requestIdOf(head)
-            + "\r\nX-Comfreysail-Backend-Signature: s\r\n" + example.start;
+        auto const finalHead = "HTTP/1.1 200 OK\r\nX-Comfreysail-Request-Id: " + requestIdOf(head)
+            + "\r\nX-Comfreysail-Backend-Signature: s\r\n";
+        auto const start = (example.hasFinalHead ? finalHead : std::string()) + example.start;
         closed += sendWithoutEnd(connection, start, example.piece) ? 1 : 0;
         return false;
     });
@@ -91,7 +94,7 @@
 TEST_CASE_METHOD(EntryFixture, "Entry_LoadResponseWithoutEnd_TakesNoMemoryAndAnotherTargetServes")
 {
     auto const cases = endlessCases();
-    auto const example = cases[GENERATE(range(0, 9))];
+    auto const example = cases[GENERATE(range(0, 10))];
     CAPTURE(example.name);
     auto& target = addTarget("t1", [&](RawConnection& connection, std::string const& head) {
         // A target whose response to the probe is complete gets requests.
@@ -99,7 +102,8 @@
         return example.isCompleteBefore;
     });
     target.loadScript = [&](RawConnection& connection, std::string const&) {
-        sendWithoutEnd(connection, "HTTP/1.1 200 OK\r\n" + example.start, example.piece);
+        auto const start = (example.hasFinalHead ? std::string("HTTP/1.1 200 OK\r\n") : std::string()) + example.start;
+        sendWithoutEnd(connection, start, example.piece);
         return false;
     };
     addTarget("t2", [](RawConnection& connection, std::string const& head) {
