Tests: End daemons and targets before the variables of their scripts

The scripts of a fixture's targets refer to local variables of the test, which are destroyed before the fixture. The daemon still sends load probes then, and a script appended destroyed strings. 15 of 800 runs crashed beside load (bad_alloc or SIGSEGV). Change: StopAtScopeEnd ends daemons and targets first, in each test whose scripts refer to local variables.

--- a/Tests/comfreysaild/EntryFixture.cpp
+++ b/Tests/comfreysaild/EntryFixture.cpp
@@ -135,6 +135,12 @@
     return *m_daemons.back();
 }
 
+void EntryFixture::stopAll()
+{
+    m_daemons.clear();
+    m_targets.clear();
+}
+
 std::string EntryFixture::requestText(std::string const& method, std::string const& path, std::string const& id,
     std::string const& body, unsigned milliseconds)
 {
--- a/Tests/comfreysaild/EntryFixture.h
+++ b/Tests/comfreysaild/EntryFixture.h
@@ -46,6 +46,8 @@
     void setFaults(std::string const& json);
 
     DaemonProcess& startDaemon(DaemonOptions options = {});
+    /// Ends all daemons, and then all targets.
+    void stopAll();
     DaemonProcess& daemon() { return *m_daemons.front(); }
 
     uint16_t platformPort() const { return m_platformPort; }
@@ -68,6 +70,22 @@
     unsigned m_requests { 0 };
 };
 
+/// Ends the daemons and targets of a fixture at the end of its scope. A test declares it after the local variables that
+/// its scripts refer to: a daemon sends load probes until it ends, and would run a script on destroyed variables.
+class StopAtScopeEnd {
+public:
+    explicit StopAtScopeEnd(EntryFixture& fixture)
+        : m_fixture(fixture)
+    {
+    }
+    ~StopAtScopeEnd() { m_fixture.stopAll(); }
+    StopAtScopeEnd(StopAtScopeEnd const&) = delete;
+    StopAtScopeEnd& operator=(StopAtScopeEnd const&) = delete;
+
+private:
+    EntryFixture& m_fixture;
+};
+
 /// The JSON text of a route of the service "orders".
 std::string routeText(std::string const& name, std::string const& prefix, std::string const& kind);
 
--- a/Tests/comfreysaild/TestEntryFuzz.cpp
+++ b/Tests/comfreysaild/TestEntryFuzz.cpp
@@ -55,6 +55,7 @@
     std::mt19937 generator(seed);
     std::mutex mutex;
     std::string sent;
+    StopAtScopeEnd const stop(*this);
     addTarget("t1", [&](RawConnection& connection, std::string const& head) {
         std::lock_guard const lock(mutex);
         sent = mutated(signedResponse(head, "whole body of the answer"), generator);
--- a/Tests/comfreysaild/TestEntryLateResponses.cpp
+++ b/Tests/comfreysaild/TestEntryLateResponses.cpp
@@ -108,6 +108,7 @@
     bool const isOrder = GENERATE(false, true);
     CAPTURE(example.name, isOrder);
     CopyingTarget copying(example.copy);
+    StopAtScopeEnd const stop(*this);
     auto& target
         = addTarget("t1", [&copying](auto& connection, auto const& head) { return copying.respond(connection, head); });
     auto& other = addTarget("t2", [](RawConnection& connection, std::string const& head) {
@@ -136,6 +137,7 @@
         return wholeResponse(
             "", idField(head) + "X-Comfreysail-Instance-Id: other\r\nX-Comfreysail-Backend-Load: 0,0,2,100\r\n");
     });
+    StopAtScopeEnd const stop(*this);
     auto& target
         = addTarget("t1", [&copying](auto& connection, auto const& head) { return copying.respond(connection, head); });
     target.loadScript = [&](RawConnection& connection, std::string const&) {
--- a/Tests/comfreysaild/TestEntryResponses.cpp
+++ b/Tests/comfreysaild/TestEntryResponses.cpp
@@ -153,6 +153,7 @@
 {
     bool const isChunked = GENERATE(false, true);
     bool const isReset = GENERATE(false, true);
+    StopAtScopeEnd const stop(*this);
     addTarget("t1", [&](RawConnection& connection, std::string const& head) {
         std::string const part(size_t { 3 } << 20, 'x');
         auto const framing
@@ -233,6 +234,7 @@
     auto const requests = GENERATE(1U, 2U);
     CAPTURE(requests);
     std::atomic<unsigned> ended { 0 };
+    StopAtScopeEnd const stop(*this);
     auto& target = addTarget("t1", [&](RawConnection& connection, std::string const&) {
         ended += connection.waitForEnd(700ms) ? 1U : 0U;
         return false;
--- a/Tests/comfreysaild/TestEntryState.cpp
+++ b/Tests/comfreysaild/TestEntryState.cpp
@@ -315,6 +315,7 @@
 TEST_CASE_METHOD(EntryFixture, "Entry_RequestThatCrashesTargets_IsRefusedByAllDaemonsAfterThree")
 {
     std::vector<EntryTarget*> targets;
+    StopAtScopeEnd const stop(*this);
     for (auto const* id : { "t1", "t2", "t3", "t4", "t5", "t6" }) {
         targets.push_back(&addTarget(id, [&targets, id](RawConnection& connection, std::string const& head) {
             if (head.starts_with("GET /read/fine ")) {
