comfreysaild: Apply only the rows that changed

Cause: every read of the store, about once a second, decoded the rows of all targets again at each daemon, and each round of polling parsed and sorted the member list several times: about 10 and 2 ms of processor time with 3,000 targets and 313 members, ten times that on a tenth of a core. Responses to other daemons went over all rows even when none was new. Change: SharedRows tells what changed since a version, and when a table changed last. RowAdopter decodes just the changed rows, StoreFollower keeps what follows from the member list until that changes.

--- a/Libraries/LibTraffic/SharedRows.cpp
+++ b/Libraries/LibTraffic/SharedRows.cpp
@@ -33,7 +33,15 @@
     if (text)
         digest ^= digestOf(key, *text);
     ++m_version;
-    m_changes[{ std::string(table), key }] = { text, revision };
+    auto& change = m_changes[{ std::string(table), key }];
+    bool const wasRemoval = change.version > 0 && !change.text;
+    if (wasRemoval)
+        --m_removals;
+    if (!text)
+        ++m_removals;
+    change = { text, revision, m_version };
+    auto& last = m_lastChanges[std::string(table)];
+    last = { std::max(last.readRevision, revision), m_version };
     if (text)
         rows.insert_or_assign(key, std::move(*text));
     else
@@ -144,30 +152,58 @@
         if (before == 0 || before < m_removalsDroppedUpTo)
             changes.completeTables.insert(table);
     }
-    for (auto const& [tableAndKey, entry] : m_changes) {
-        auto const& [table, key] = tableAndKey;
-        bool const isSent = changes.completeTables.contains(table) ? entry.text.has_value()
-                                                                   : entry.readRevision > knownRevision(table);
-        if (isSent)
-            changes.rows.push_back({ table, key, entry.text });
+    for (auto const& [table, last] : m_lastChanges) {
+        bool const isComplete = changes.completeTables.contains(table);
+        auto const before = knownRevision(table);
+        if (!isComplete && last.readRevision <= before)
+            continue;
+        for (auto change = m_changes.lower_bound({ table, {} });
+             change != m_changes.end() && change->first.first == table; ++change) {
+            auto const& [tableAndKey, entry] = *change;
+            if (isComplete ? entry.text.has_value() : entry.readRevision > before)
+                changes.rows.push_back({ table, tableAndKey.second, entry.text });
+        }
     }
     return changes;
 }
 
 void SharedRows::dropOldRemovals()
 {
+    if (m_removals <= maxRemovals)
+        return;
     std::vector<uint64_t> removals;
     for (auto const& [tableAndKey, entry] : m_changes) {
         if (!entry.text)
             removals.push_back(entry.readRevision);
     }
-    if (removals.size() <= maxRemovals)
-        return;
     auto const middle = removals.begin() + static_cast<ptrdiff_t>(removals.size() / 2);
     std::ranges::nth_element(removals, middle);
     m_removalsDroppedUpTo = *middle;
-    std::erase_if(m_changes,
+    m_removals -= std::erase_if(m_changes,
         [&](auto const& item) { return !item.second.text && item.second.readRevision <= m_removalsDroppedUpTo; });
+    m_versionOfDrop = m_version;
+}
+
+uint64_t SharedRows::versionOf(std::string_view table) const
+{
+    auto const found = m_lastChanges.find(table);
+    return found == m_lastChanges.end() ? 0 : found->second.version;
+}
+
+std::optional<std::vector<SharedRow>> SharedRows::changesSince(std::string_view table, uint64_t version) const
+{
+    if (version < m_versionOfDrop)
+        return std::nullopt;
+    std::vector<SharedRow> rows;
+    if (versionOf(table) <= version)
+        return rows;
+    std::string const name(table);
+    for (auto change = m_changes.lower_bound({ name, {} }); change != m_changes.end() && change->first.first == name;
+         ++change) {
+        if (change->second.version > version)
+            rows.push_back({ name, change->first.second, change->second.text });
+    }
+    return rows;
 }
 
 SharedRows::Table const& SharedRows::table(std::string_view name) const
--- a/Libraries/LibTraffic/SharedRows.h
+++ b/Libraries/LibTraffic/SharedRows.h
@@ -71,11 +71,21 @@
     uint64_t revisionOf(std::string_view table) const;
     /// Increases with each change of a row.
     uint64_t version() const { return m_version; }
+    /// The version() of the last change of a row of this table; 0 if it never had a row.
+    uint64_t versionOf(std::string_view table) const;
+    /// Returns the rows of a table that changed after version() had this value, or std::nullopt if removals since then
+    /// are no longer known.
+    std::optional<std::vector<SharedRow>> changesSince(std::string_view table, uint64_t version) const;
 
 private:
     struct Entry {
         std::optional<std::string> text;
         uint64_t readRevision { 0 }; ///< Revision of the read that revealed the change.
+        uint64_t version { 0 };      ///< Own version() after the change.
+    };
+    struct LastChange {
+        uint64_t readRevision { 0 };
+        uint64_t version { 0 };
     };
 
     bool set(std::string_view table, std::string const& key, std::optional<std::string> text, uint64_t revision);
@@ -87,8 +97,11 @@
     std::map<std::string, uint64_t, std::less<>> m_digests; ///< By table.
     std::set<std::string, std::less<>> m_snapshotTables;    ///< Tables read at a single revision.
     std::set<std::string, std::less<>> m_incomplete; ///< Tables whose digest differs from that of their last source.
+    std::map<std::string, LastChange, std::less<>> m_lastChanges; ///< By table.
     uint64_t m_version { 0 };
+    size_t m_removals { 0 };              ///< Number of removals in m_changes.
     uint64_t m_removalsDroppedUpTo { 0 }; ///< Removals up to this revision may have been dropped.
+    uint64_t m_versionOfDrop { 0 };       ///< Version at which removals were dropped last.
 };
 
 }
--- a/Services/comfreysaild/RowAdopter.cpp
+++ b/Services/comfreysaild/RowAdopter.cpp
@@ -170,14 +170,33 @@
 
 void RowAdopter::adoptTargets(Core::Instant now)
 {
-    std::vector<Traffic::RegisteredTarget> targets;
-    for (auto const& [key, text] : m_state.sharedRows.table(Platform::Table::targets)) {
-        // Invalid rows were logged by the daemon that read them from the store.
-        auto target = Platform::decodeTarget(storeRow(key, text));
-        if (!isError(target))
-            targets.push_back(takeValue(std::move(target)));
+    auto const& rows = m_state.sharedRows;
+    // Invalid rows were logged by the daemon that read them from the store.
+    auto const changes = m_adoptedTargetsVersion ? rows.changesSince(Platform::Table::targets, *m_adoptedTargetsVersion)
+                                                 : std::nullopt;
+    std::vector<Traffic::RegisteredTarget> changed;
+    std::vector<std::string> removed;
+    auto const add = [&](std::string const& key, std::optional<std::string> const& text) {
+        if (!text) {
+            removed.push_back(key);
+            return;
+        }
+        auto target = Platform::decodeTarget(storeRow(key, *text));
+        if (isError(target))
+            removed.push_back(key);
+        else
+            changed.push_back(takeValue(std::move(target)));
+    };
+    if (changes) {
+        for (auto const& row : *changes)
+            add(row.key, row.text);
+        m_state.directory.applyChanges(changed, removed, now);
+    } else {
+        for (auto const& [key, text] : rows.table(Platform::Table::targets))
+            add(key, text);
+        m_state.directory.replaceAll(changed, now);
     }
-    m_state.directory.replaceAll(targets, now);
+    m_adoptedTargetsVersion = rows.version();
     m_state.hasReadTargets = true;
 }
 
--- a/Services/comfreysaild/RowAdopter.h
+++ b/Services/comfreysaild/RowAdopter.h
@@ -20,7 +20,7 @@
 
     /// Applies the operators' rows, the results of moves, the verdicts and the crashes.
     void adoptDecisions();
-    /// Replaces the targets in the directory. `now`: the current time.
+    /// Applies to the directory what has changed in the targets since the last call. `now`: the current time.
     void adoptTargets(Core::Instant now);
 
 private:
@@ -31,6 +31,7 @@
     bool isFirstRefusal(std::string const& key, uint64_t revision);
 
     EntryState& m_state;
+    std::optional<uint64_t> m_adoptedTargetsVersion; ///< Version of the shared rows whose targets are applied.
     std::map<std::string, uint64_t, std::less<>>
         m_loggedInvalidRows; ///< Revisions of invalid rows that were logged, by key.
 };
--- a/Services/comfreysaild/StoreFollower.cpp
+++ b/Services/comfreysaild/StoreFollower.cpp
@@ -112,12 +112,18 @@
     co_await timer.async_wait(HTTP::useTuple);
 }
 
-std::vector<Traffic::RelayMember> StoreFollower::members() const
+std::vector<Traffic::RelayMember> const& StoreFollower::members()
 {
-    std::vector<Traffic::RelayMember> members;
+    auto const version = m_state.sharedRows.versionOf(Platform::Table::members);
+    if (version == m_membersVersion)
+        return m_members;
+    m_membersVersion = version;
+    m_members.clear();
     for (auto const& [name, text] : m_state.sharedRows.table(Platform::Table::members))
-        members.push_back(Traffic::parseMember(name, storeRow(name, text).value));
-    return members;
+        m_members.push_back(Traffic::parseMember(name, storeRow(name, text).value));
+    m_sources = Traffic::relaySources(m_self.name, m_members, {});
+    m_role = Traffic::relayRole(m_self.name, m_members, {});
+    return m_members;
 }
 
 void StoreFollower::adoptRows()
@@ -145,13 +151,12 @@
 
 bool StoreFollower::isSeed() const { return std::ranges::find(m_seeds, m_self.endpoint) != m_seeds.end(); }
 
-Traffic::RelayRole StoreFollower::role() const
+Traffic::RelayRole StoreFollower::role()
 {
-    auto const known = members();
     // Until the member list is known, the seeds are the readers.
-    if (known.empty() && isSeed())
+    if (members().empty() && isSeed())
         return Traffic::RelayRole::Reader;
-    return Traffic::relayRole(m_self.name, known, {});
+    return m_role;
 }
 
 bool StoreFollower::mayReadStore(Traffic::RelayRole role, Instant now) const
@@ -168,7 +173,7 @@
     return !waitsForStandbyReaders || now - m_staleSince.value_or(now) >= Traffic::RelayOptions().standbyHeadStart;
 }
 
-bool StoreFollower::mayAdvanceMoves(Traffic::RelayRole role) const
+bool StoreFollower::mayAdvanceMoves(Traffic::RelayRole role)
 {
     if (role != Traffic::RelayRole::Follower)
         return true;
@@ -217,7 +222,9 @@
 
 awaitable<bool> StoreFollower::pollOthers()
 {
-    auto sources = Traffic::relaySources(m_self.name, members(), {});
+    // Polling may change the member list, so the loops below work on copies.
+    auto const known = members();
+    auto sources = m_sources;
     if (sources.empty()) {
         for (auto const& seed : m_seeds) {
             if (seed != m_self.endpoint)
@@ -227,7 +234,6 @@
     // After a round without fresh rows, polls only the first source and a random other daemon: the store may be serving
     // only daemons that are not among the sources, and polling all sources repeatedly from many daemons would overload
     // the readers.
-    auto const known = members();
     if (m_state.hasReadTargets && m_failedRounds > 0 && sources.size() > 2 && known.size() > 2) {
         auto const index = static_cast<size_t>(randomUpTo(Core::Duration(known.size() - 1)).count());
         sources = { sources.front(), known[index] };
--- a/Services/comfreysaild/StoreFollower.h
+++ b/Services/comfreysaild/StoreFollower.h
@@ -20,9 +20,9 @@
 private:
     HTTP::awaitable<void> follow();
     bool isSeed() const;
-    Traffic::RelayRole role() const;
+    Traffic::RelayRole role();
     bool mayReadStore(Traffic::RelayRole, Core::Instant now) const;
-    bool mayAdvanceMoves(Traffic::RelayRole) const;
+    bool mayAdvanceMoves(Traffic::RelayRole);
     void noteFresh();
     HTTP::awaitable<bool> pollOthers();
     HTTP::awaitable<RelayResult> pollOne(Traffic::RelayMember source, bool mayWait);
@@ -32,7 +32,7 @@
     HTTP::awaitable<void> pause(Core::Duration);
     void adoptRows();
     bool mayAdoptRows(RelayResult, Core::Instant now) const;
-    std::vector<Traffic::RelayMember> members() const;
+    std::vector<Traffic::RelayMember> const& members();
 
     boost::asio::io_context& m_context;
     StoreReader& m_reader;
@@ -44,6 +44,11 @@
     std::vector<std::string> m_seeds;
     bool m_isFirstStart;
     Traffic::RelayBackoff m_backoff;
+    /// What follows from the member list. Sorting it takes milliseconds on a small VM, and it changes rarely.
+    uint64_t m_membersVersion { 0 };
+    std::vector<Traffic::RelayMember> m_members;
+    std::vector<Traffic::RelayMember> m_sources;
+    Traffic::RelayRole m_role { Traffic::RelayRole::Follower };
     Core::Instant m_startedAt {};
     Core::Instant m_membersReadAt {};
     Core::Instant m_registeredAt {};
--- a/Tests/LibTraffic/TestRelay.cpp
+++ b/Tests/LibTraffic/TestRelay.cpp
@@ -106,6 +106,55 @@
     CHECK(incomplete > 0);
 }
 
+// A daemon applies only the rows that changed since the last time. A missed change or removal would leave a target in use
+// that has gone.
+TEST_CASE_METHOD(RelayFixture, "SharedRows_ChangesSinceAVersion_LeadToTheSameRows")
+{
+    constexpr unsigned seed = 815;
+    std::mt19937 generator(seed);
+    auto const below = [&](uint64_t bound) { return std::uniform_int_distribution<uint64_t>(0, bound - 1)(generator); };
+    SharedRows::Table rows;
+    SharedRows::Table copy;
+    uint64_t version = 0;
+    unsigned unknown = 0;
+    for (uint64_t revision = 1; revision < 300; ++revision) {
+        for (unsigned change = 0; change < 20; ++change) {
+            auto const key = "k" + std::to_string(below(2000));
+            if (below(3) == 0)
+                rows.erase(key);
+            else
+                rows[key] = std::to_string(revision);
+        }
+        // Many removals at once are not kept.
+        if (below(20) == 0)
+            std::erase_if(rows, [&](auto const&) { return below(4) > 0; });
+        source.replaceTable("t", rows, revision);
+        source.replaceTable("other", { { "x", std::to_string(revision) } }, revision);
+        if (below(3) > 0)
+            continue;
+        auto const changes = source.changesSince("t", version);
+        version = source.version();
+        CAPTURE(seed, revision);
+        if (!changes) {
+            ++unknown;
+            copy = source.table("t");
+            continue;
+        }
+        for (auto const& row : *changes) {
+            REQUIRE(row.table == "t");
+            if (row.text)
+                copy[row.key] = *row.text;
+            else
+                copy.erase(row.key);
+        }
+        REQUIRE(copy == rows);
+        REQUIRE(source.versionOf("t") <= version);
+        CHECK(source.changesSince("t", version)->empty());
+    }
+    CHECK(unknown > 0);
+    CHECK(unknown < 50);
+}
+
 // With some thousand targets the store is read in several pages, each at its own revision, so two readers may have
 // different rows at the same revision. Asking for all rows each time caused traffic of megabytes per second with 300
 // VMs.
