LibTraffic: Count the room of all probe rounds for a late request

Cause: a late request needs room at two fifths of the targets that can be asked, by reports of at most 25 ms. On a tenth of a core five rounds of probes take 60 to 220 ms, so most reports were too old when they were counted: "asked 15 of 24, cold 0, full 0, late". Change: whether a service has room is judged by reports of the last 250 ms; the target itself is still chosen by a fresh one. Load that this answers: callers who come back, or whom a small VM serves late, while most targets are idle. Under overload the reports show no room, so the last slots stay with requests that can end in time, as before.

--- a/Libraries/LibTraffic/Placement.cpp
+++ b/Libraries/LibTraffic/Placement.cpp
@@ -112,13 +112,13 @@
     std::optional<TargetChoice> best;
     unsigned withRoom = 0;
     for (auto const* record : candidates) {
-        if (isExcluded(*record, request) || now < record->coldUntil
-            || now - record->loadMeasuredAt > options.maxReportAge)
+        auto const age = now - record->loadMeasuredAt;
+        if (isExcluded(*record, request) || now < record->coldUntil || age > options.maxReportAgeForRoom)
             continue;
         auto const cost = expectedCost(*record, request, options);
         if (cost)
             ++withRoom;
-        if (cost && (!best || *cost < best->cost))
+        if (cost && age <= options.maxReportAge && (!best || *cost < best->cost))
             best = TargetChoice { record, *cost, busyRequests(*record) >= record->load->slots };
     }
     auto const askable = std::min<size_t>(candidates.size(), options.targetsProbedPerRound * options.maxRounds);
--- a/Libraries/LibTraffic/Placement.h
+++ b/Libraries/LibTraffic/Placement.h
@@ -31,6 +31,10 @@
     double minFractionWithRoomIfLate { 0.4 };
     /// Maximum age of a load report that is used for placement.
     Core::Duration maxReportAge { std::chrono::milliseconds(25) };
+    /// Maximum age of a load report that counts when deciding whether a service has room for a late request. How many
+    /// targets have room changes more slowly than which ones do. On a tenth of a core, asking enough targets takes
+    /// longer than `maxReportAge`, and late requests were refused although all targets were idle.
+    Core::Duration maxReportAgeForRoom { std::chrono::milliseconds(250) };
 
     bool operator==(PlacementOptions const&) const = default;
 };
--- a/Tests/LibTraffic/TestPlacement.cpp
+++ b/Tests/LibTraffic/TestPlacement.cpp
@@ -95,6 +95,26 @@
     CHECK(best() != "none");
 }
 
+// On a small VM the reports of several rounds are older than 25 ms before enough targets were asked. Late requests of a
+// service with 3,000 idle targets were refused for that reason ("asked 15 of 24, full 0, late").
+TEST_CASE_METHOD(PlacementFixture, "BestTarget_LateRequestAndReportsOfSeveralRounds_RoomOfAllRoundsCounts")
+{
+    for (auto const* id : { "a", "b", "c", "d", "e" })
+        add(id, { 0, 0, 2, 1 }).loadMeasuredAt = now - 100ms;
+    add("fresh", { 1, 0, 2, 1 });
+    for (unsigned count = 0; count < 18; ++count)
+        add("unasked" + std::to_string(count), {}).load.reset();
+    request.isLate = true;
+    CHECK(best() == "fresh");
+    for (unsigned index = 0; index < 3; ++index)
+        std::next(records.begin(), index)->load->running = 2;
+    CHECK(best() == "none");
+    for (auto& record : records)
+        record.loadMeasuredAt = now - 300ms;
+    records.begin()->load->running = 0;
+    CHECK(best() == "none");
+}
+
 // A service may have fewer targets than late requests need with room. Its late requests must not be refused for that
 // reason.
 TEST_CASE_METHOD(PlacementFixture, "BestTarget_LateRequestOfAServiceWithOneTarget_IsServed")
