comfreysaild: Bound the memory of request bodies

Cause: each request body was read whole into memory before it was placed, with a bound for one body (that of the operators, 64 MiB by default) and none for all together; a VM has 160 to 512 MB. Uploads at the same time could end the daemon, and every request in it. Change: BodyBudget (LibTraffic) gives memory to bodies: all together hold at most a quarter of the VM's memory (new setting memory_mb), large ones at most three quarters of that. A body of known length has all its memory before its first byte is read; until then its connection is not read, so its caller is slowed down. It waits for a quarter of its time and is then refused as not run, in time to come back. A body of unknown length that outgrows the budget is refused. Bodies up to 64 KiB do not wait. A body that exceeds the budget alone is received when no other large one is there. Ruled out for now: passing bodies on as they come. A request is placed by reports that are milliseconds old, and is sent again when it surely did not run; both need the whole body.

--- a/Libraries/LibTraffic/Traffic.h
+++ b/Libraries/LibTraffic/Traffic.h
@@ -4,6 +4,7 @@
 /// (routes, eligible targets, placement, retries, limits for cold targets, and moves between versions), and the relay
 /// of the store's rows among daemons. Opens no sockets.
 
+#include <LibTraffic/BodyBudget.h>
 #include <LibTraffic/CallerTimeoutEstimate.h>
 #include <LibTraffic/ColdTargetRateLimiter.h>
 #include <LibTraffic/DirectoryEntry.h>
--- a/Services/comfreysaild/DaemonSettings.cpp
+++ b/Services/comfreysaild/DaemonSettings.cpp
@@ -47,6 +47,14 @@
 
 Settings::TextRule const numberRule { isNumber, "a number from 0 to 1000000, as a text" };
 
+bool isMemory(std::string_view text)
+{
+    auto const value = parseNumber(text);
+    return value && *value >= 1 && *value <= maxNumber;
+}
+
+Settings::TextRule const memoryRule { isMemory, "a number of MiB from 1 to 1000000, as a text" };
+
 Settings::TextRule const secondsRule { isSeconds, "a number of seconds above 0, as a text" };
 
 // Port 0 lets the operating system choose a port, which the daemon logs. Other daemons must know the peer and control
@@ -139,6 +147,8 @@
         settings.grace = Core::Duration(std::llround(std::stod(*grace) * microsecondsPerSecond));
     if (auto const share = root.text("processor_share", numberRule))
         settings.processorShare = std::stod(*share);
+    if (auto const memory = root.text("memory_mb", memoryRule))
+        settings.memoryMebibytes = std::stod(*memory);
     settings.isFirstStart = root.boolean("first_start").value_or(false);
     if (auto retries = root.table("retries")) {
         if (auto const ratio = retries->text("ratio", numberRule))
--- a/Services/comfreysaild/DaemonSettings.h
+++ b/Services/comfreysaild/DaemonSettings.h
@@ -45,6 +45,8 @@
     Core::Duration balancerLag { std::chrono::seconds(2) };
     /// Share of a core that the VM has. Daemons with a larger share serve rows to the others.
     double processorShare { 1 };
+    /// Memory of the VM, in MiB. A quarter of it may hold bodies of requests at the same time (ask_targets).
+    double memoryMebibytes { 256 };
     bool isFirstStart { false }; ///< The whole system is started for the first time, before there is traffic.
     /// Retry budget of a service in a time window, shared by all daemons: retryRatio of its requests plus retrySlack.
     double retryRatio { 0.2 };
--- a/Services/comfreysaild/EntryDaemon.cpp
+++ b/Services/comfreysaild/EntryDaemon.cpp
@@ -32,11 +32,23 @@
 // The requests of other daemons carry evidence on moves, about 25 bytes for each daemon.
 constexpr size_t maxRelayHeaderBytes = size_t { 64 } * 1024;
 
+// The rest is for connections, rows, responses, and the copy that a growing body needs.
+constexpr double fractionOfMemoryForBodies = 0.25;
+
 // Used when the settings have no grace time.
 constexpr auto defaultGrace = std::chrono::hours(24);
 // Part of the grace time that is kept for stopping the process.
 constexpr auto exitReserve = 250ms;
 
+Traffic::BodyBudgetOptions bodyBudgetOptions(DaemonSettings const& settings)
+{
+    constexpr double bytesPerMebibyte = 1 << 20;
+    Traffic::BodyBudgetOptions options;
+    options.capacityBytes
+        = static_cast<size_t>(settings.memoryMebibytes * bytesPerMebibyte * fractionOfMemoryForBodies);
+    return options;
+}
+
 HTTP::PoolOptions entryPoolOptions(DaemonSettings const& settings)
 {
     auto options = poolOptions(settings);
@@ -50,7 +62,8 @@
     : m_settings(std::move(settings))
     , m_settingsPath(std::move(settingsPath))
     , m_context(1)
-    , m_state(Traffic::SharedRetryBudget(m_settings.retryRatio, m_settings.retrySlack), m_settings.vmName)
+    , m_state(Traffic::SharedRetryBudget(m_settings.retryRatio, m_settings.retrySlack), m_settings.vmName,
+          bodyBudgetOptions(m_settings))
     , m_pool(m_context, entryPoolOptions(m_settings))
     , m_store(m_context.get_executor(), m_settings.platform->address, m_settings.platform->port)
     , m_adopter(m_state)
--- a/Services/comfreysaild/EntryHandler.cpp
+++ b/Services/comfreysaild/EntryHandler.cpp
@@ -26,6 +26,8 @@
 // A retry with less time left would not reach the caller before its deadline.
 constexpr auto minTimeForRetry = 20ms;
 constexpr auto defaultTimeout = 30s;
+// A body waits for memory during this fraction of its time, so that a caller who is refused has time to come back.
+constexpr int maxMemoryWaitDivisor = 4;
 // A streamed response body that makes no progress for this long is given up.
 constexpr auto streamStallTimeout = 30s;
 // A crashing target closes its connections before its listening port; an earlier probe could still connect.
@@ -82,7 +84,7 @@
 awaitable<void> EntryHandler::handle(HTTP::ServerExchange& exchange)
 {
     ++m_state.activeRequests;
-    EntryRequest request(exchange);
+    EntryRequest request(exchange, m_state.bodies);
     auto const prepared = co_await prepare(request);
     if (isError(prepared))
         co_await refuse(request, errorOf(prepared));
@@ -114,25 +116,9 @@
     request.deadlineWatchdog->arm(
         request.deadline, [&request] { request.stopSignal.stop(ErrorKind::DeadlineExceeded); });
     StopSignal::Scope const scope(request.stopSignal, [&exchange] { exchange.cancelPendingRead(); });
-    auto const planned = request.plan->limits.maxBodyBytes;
-    auto const maxBytes = planned > 0 ? planned : defaultMaxBodyBytes;
-    if (head.contentLength.value_or(0) > maxBytes)
-        co_return Error { ErrorKind::BodyTooLarge, {} };
-    while (!exchange.isBodyFinished()) {
-        auto& body = *request.body;
-        auto const offset = body.size();
-        body.resize(offset + readBufferSize);
-        auto const size = co_await exchange.readBody(std::span(body).subspan(offset));
-        if (request.stopSignal.reason())
-            co_return Error { ErrorKind::DeadlineExceeded, "the body did not arrive in time" };
-        if (isError(size))
-            co_return errorOf(size);
-        body.resize(offset + valueOf(size));
-        if (body.size() > maxBytes)
-            co_return Error { ErrorKind::BodyTooLarge, {} };
-        if (valueOf(size) == 0)
-            break;
-    }
+    auto const received = co_await receiveBody(request);
+    if (isError(received))
+        co_return errorOf(received);
     request.fingerprint = Retry::fingerprintOf({ request.service, head.method, head.target, *request.body });
     if (m_state.quarantine.isRefused(request.fingerprint, request.arrivedAt))
         co_return Error { ErrorKind::RequestQuarantined, {} };
@@ -157,6 +143,46 @@
     co_return Empty {};
 }
 
+awaitable<Result<Empty>> EntryHandler::receiveBody(EntryRequest& request)
+{
+    auto& exchange = request.exchange;
+    auto const& head = exchange.head();
+    auto const planned = request.plan->limits.maxBodyBytes;
+    auto const maxBytes = planned > 0 ? planned : defaultMaxBodyBytes;
+    auto const length = static_cast<size_t>(head.contentLength.value_or(0));
+    if (length > maxBytes)
+        co_return Error { ErrorKind::BodyTooLarge, {} };
+    if (exchange.isBodyFinished())
+        co_return Empty {};
+    auto const longestWait = (request.deadline - request.arrivedAt) / maxMemoryWaitDivisor;
+    bool const hasMemory
+        = co_await request.bodyMemory.reserve(length, request.stopSignal, request.arrivedAt + longestWait);
+    if (request.stopSignal.reason())
+        co_return Error { *request.stopSignal.reason(), {} };
+    if (!hasMemory)
+        co_return Error { ErrorKind::QueueFull, "no memory for the body" };
+    auto& body = *request.body;
+    if (length > 0)
+        body.reserve(length + readBufferSize);
+    while (!exchange.isBodyFinished()) {
+        auto const offset = body.size();
+        if (!request.bodyMemory.growTo(offset))
+            co_return Error { ErrorKind::QueueFull, "no memory for the rest of the body" };
+        body.resize(offset + readBufferSize);
+        auto const size = co_await exchange.readBody(std::span(body).subspan(offset));
+        if (request.stopSignal.reason())
+            co_return Error { ErrorKind::DeadlineExceeded, "the body did not arrive in time" };
+        if (isError(size))
+            co_return errorOf(size);
+        body.resize(offset + valueOf(size));
+        if (body.size() > maxBytes)
+            co_return Error { ErrorKind::BodyTooLarge, {} };
+        if (valueOf(size) == 0)
+            break;
+    }
+    co_return Empty {};
+}
+
 awaitable<void> EntryHandler::forward(EntryRequest& request)
 {
     m_state.retries.noteFirstSend(request.service);
--- a/Services/comfreysaild/EntryHandler.h
+++ b/Services/comfreysaild/EntryHandler.h
@@ -21,6 +21,7 @@
 
 private:
     HTTP::awaitable<Core::Result<Core::Empty>> prepare(EntryRequest&);
+    HTTP::awaitable<Core::Result<Core::Empty>> receiveBody(EntryRequest&);
     HTTP::awaitable<void> forward(EntryRequest&);
     HTTP::awaitable<void> deliver(EntryRequest&);
     /// Passes on a response body that is too large to buffer.
--- a/Services/comfreysaild/EntryRequest.h
+++ b/Services/comfreysaild/EntryRequest.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "BodyReservation.h"
 #include "EntryState.h"
 #include "StopSignal.h"
 #include <LibHTTP/HTTP.h>
@@ -12,10 +13,11 @@
 
 /// The state of one caller's request while it is being processed.
 struct EntryRequest {
-    explicit EntryRequest(HTTP::ServerExchange& exchange)
+    EntryRequest(HTTP::ServerExchange& exchange, Traffic::BodyBudget& bodies)
         : exchange(exchange)
         , arrivedAt(Core::monotonicNow())
         , deadlineWatchdog(HTTP::Watchdog::create(exchange.strand()))
+        , bodyMemory(bodies)
     {
     }
 
@@ -31,6 +33,7 @@
     Core::Instant deadline {}; ///< End of the caller's time or of the route's timeout, whichever comes first.
     std::optional<Core::Instant> callerDeadline; ///< Absent if the caller states no time limit.
     Core::Duration earlierWait {};               ///< Time that the caller spent on earlier attempts, estimated.
+    BodyReservation bodyMemory;
     std::shared_ptr<std::string> body { std::make_shared<std::string>() };
     double uniform { 0 }; ///< Random number in [0, 1), drawn once, so that retries go to the same version.
 
--- a/Services/comfreysaild/EntryState.h
+++ b/Services/comfreysaild/EntryState.h
@@ -24,8 +24,10 @@
 
 /// What an entry daemon knows about the system. Not thread safe: the daemon runs on one thread.
 struct EntryState {
-    explicit EntryState(Traffic::SharedRetryBudget budget, std::string vmName = {})
+    explicit EntryState(
+        Traffic::SharedRetryBudget budget, std::string vmName = {}, Traffic::BodyBudgetOptions const& bodyOptions = {})
         : directory(std::move(vmName))
+        , bodies(bodyOptions)
         , retries(std::move(budget))
     {
     }
@@ -42,6 +44,7 @@
     Traffic::TargetDirectory directory;
     Traffic::PauseDetector pauses;
     bool hasReadTargets { false };
+    Traffic::BodyBudget bodies; ///< Memory for the bodies of callers' requests.
     Traffic::SharedRetryBudget retries;
     Traffic::ColdTargetRateLimiter coldSends;
     std::map<std::string, Traffic::CallerTimeoutEstimate, std::less<>>
--- a/Tests/Support/DaemonProcess.cpp
+++ b/Tests/Support/DaemonProcess.cpp
@@ -64,7 +64,7 @@
         + "\"\n"
         + (options.platformPort ? "placement = \"ask_targets\"\ngrace_seconds = \"6\"\n"
                                 : "settings_file = \"tree.toml\"\n")
-        + "balancer_lag_ms = " + std::to_string(options.balancerLagMilliseconds) + "\n";
+        + "balancer_lag_ms = " + std::to_string(options.balancerLagMilliseconds) + "\n" + options.settings + "\n";
     std::vector<std::pair<std::string, uint16_t>> listeners { { "caller", callerPort }, { "admin", adminPort } };
     if (options.platformPort)
         listeners.emplace_back("platform", *options.platformPort);
