--- a/Libraries/LibTraffic/TargetDirectory.cpp
+++ b/Libraries/LibTraffic/TargetDirectory.cpp
@@ -15,7 +15,7 @@
 
 }
 
-TargetDirectory::TargetDirectory(std::string daemonName, DirectoryOptions options)
+TargetDirectory::TargetDirectory(std::string_view daemonName, DirectoryOptions options)
     : m_daemonHash(Core::hashBytes(daemonName))
     , m_options(options)
 {
--- a/Libraries/LibTraffic/TargetDirectory.h
+++ b/Libraries/LibTraffic/TargetDirectory.h
@@ -38,7 +38,7 @@
 class TargetDirectory {
 public:
     /// `daemonName` determines which targets of a large service this daemon uses.
-    explicit TargetDirectory(std::string daemonName = {}, DirectoryOptions = {});
+    explicit TargetDirectory(std::string_view daemonName = {}, DirectoryOptions = {});
 
     /// Replaces the list of targets by a complete read of the registry.
     void replaceAll(std::vector<RegisteredTarget> const&, Core::Instant now);
