LibTraffic: Send the rows of a quiet table only once

Cause: when more than 500 removed rows are known, the older half is dropped, and a follower that lags behind gets all rows of a table instead. The revision up to which removals were dropped was one for all tables. A table that is read less often (status of moves, crashes) stays behind it, so its rows went out with every response. A request for changes then never waits, and all daemons polled their sources without a pause until the table was read again. Change: the revision is kept for each table. Besides, a daemon begins its rounds at least 30 ms apart: daemons that started beside an empty store also polled without a pause.

--- a/Libraries/LibTraffic/SharedRows.cpp
+++ b/Libraries/LibTraffic/SharedRows.cpp
@@ -149,7 +149,8 @@
     };
     for (auto const& [table, revision] : m_revisions) {
         auto const before = knownRevision(table);
-        if (before == 0 || before < m_removalsDroppedUpTo)
+        auto const dropped = m_removalsDroppedUpTo.find(table);
+        if (before == 0 || (dropped != m_removalsDroppedUpTo.end() && before < dropped->second))
             changes.completeTables.insert(table);
     }
     for (auto const& [table, last] : m_lastChanges) {
@@ -178,9 +179,15 @@
     }
     auto const middle = removals.begin() + static_cast<ptrdiff_t>(removals.size() / 2);
     std::ranges::nth_element(removals, middle);
-    m_removalsDroppedUpTo = *middle;
-    m_removals -= std::erase_if(m_changes,
-        [&](auto const& item) { return !item.second.text && item.second.readRevision <= m_removalsDroppedUpTo; });
+    m_removals -= std::erase_if(m_changes, [this, newestDropped = *middle](auto const& item) {
+        auto const& [tableAndKey, entry] = item;
+        bool const isDropped = !entry.text && entry.readRevision <= newestDropped;
+        if (isDropped) {
+            auto& droppedUpTo = m_removalsDroppedUpTo[tableAndKey.first];
+            droppedUpTo = std::max(droppedUpTo, entry.readRevision);
+        }
+        return isDropped;
+    });
     m_versionOfDrop = m_version;
 }
 
--- a/Libraries/LibTraffic/SharedRows.h
+++ b/Libraries/LibTraffic/SharedRows.h
@@ -100,7 +100,9 @@
     std::map<std::string, LastChange, std::less<>> m_lastChanges; ///< By table.
     uint64_t m_version { 0 };
     size_t m_removals { 0 };              ///< Number of removals in m_changes.
-    uint64_t m_removalsDroppedUpTo { 0 }; ///< Removals up to this revision may have been dropped.
+    /// Removals up to this revision may have been dropped, by table. Tables are read at different times, so a revision of
+    /// one table says nothing about another.
+    TableRevisions m_removalsDroppedUpTo;
     uint64_t m_versionOfDrop { 0 };       ///< Version at which removals were dropped last.
 };
 
--- a/Services/comfreysaild/StoreFollower.cpp
+++ b/Services/comfreysaild/StoreFollower.cpp
@@ -22,6 +22,9 @@
 constexpr auto membersInterval = 2s;
 constexpr auto registrationInterval = 3s;
 constexpr auto pauseAfterFailure = 100ms;
+// A source usually holds a request back until there is a change. One that does not, or many changes in succession, must
+// not exceed the limit for control traffic. A request and its response without rows take about 600 bytes.
+constexpr auto minPollInterval = 30ms;
 // After this many unresponsive daemons a round ends early: this daemon is probably cut off from all others, and has to
 // read the store before a change is overdue.
 constexpr size_t maxUnresponsiveSources = 2;
@@ -189,6 +192,7 @@
         co_await pause(randomUpTo(firstQuerySpread));
     while (true) {
         auto const currentRole = role();
+        auto const startedAt = Core::monotonicNow();
         bool isFresh = false;
         if (currentRole != Traffic::RelayRole::Reader)
             isFresh = co_await pollOthers();
@@ -214,8 +218,11 @@
                     isFresh = co_await pollOthers();
             }
         }
+        auto const used = Core::monotonicNow() - startedAt;
         if (!isFresh)
             co_await pause(m_state.hasReadTargets || m_isFirstStart ? pauseAfterFailure : pauseWithoutRows);
+        else if (used < minPollInterval)
+            co_await pause(minPollInterval - used);
         co_await registerSelf();
     }
 }
--- a/Tests/LibTraffic/TestRelay.cpp
+++ b/Tests/LibTraffic/TestRelay.cpp
@@ -230,6 +230,19 @@
     CHECK(follower.table("t") == source.table("t"));
 }
 
+// A table that changes rarely is read less often than one whose removals are dropped. If its rows were sent with each
+// response then, no request would wait for a change, and all daemons would poll their sources without a pause.
+TEST_CASE_METHOD(RelayFixture, "SharedRows_RemovalsOfAnotherTableDropped_NothingIsSentAgain")
+{
+    source.replaceTable("quiet", { { "a", "1" } }, 1);
+    for (uint64_t round = 2; round < 1500; ++round)
+        source.replaceTable("busy", { { "x" + std::to_string(round), "1" } }, round);
+    CHECK(synchronize());
+    auto const changes = source.changesAfter(follower.knownRevisions());
+    CHECK(changes.rows.empty());
+    CHECK(changes.completeTables.empty());
+}
+
 // Every daemon must reach a reader in few steps, and no daemon may have more followers than the fan-out.
 TEST_CASE("RelaySources_AnyNumberOfMembers_LeadToAReaderWithinFewSteps")
 {
--- a/Tests/comfreysaild/TestEntryState.cpp
+++ b/Tests/comfreysaild/TestEntryState.cpp
@@ -220,6 +220,31 @@
     daemon().kill();
 }
 
+// A source that does not hold requests back until there is a change, for whatever reason, must not make all daemons poll
+// without a pause. Control traffic of a daemon may take 29 kB/s (docs/design.md, 1.5).
+TEST_CASE_METHOD(EntryFixture, "Entry_SourceRespondsAtOnce_ControlTrafficStaysWithinItsLimit")
+{
+    constexpr size_t maxBytesPerSecond = 29'000;
+    std::atomic<size_t> bytes { 0 };
+    addTarget("t1", respondComplete);
+    ScriptedTarget const source([&bytes](RawConnection& connection, std::string const& head) {
+        auto const response = wholeResponse(
+            R"({"age_ms":0,"revisions":{"op":999999,"servers":999999},"digests":{},"complete":[],"rows":[],"verdicts":{}})");
+        bytes += head.size() + response.size();
+        return connection.send(response);
+    });
+    StopAtScopeEnd const stop(*this);
+    for (auto const* name : { "vm-1", "vm-2", "vm-3", "vm-4", "vm-5", "vm-6" })
+        writeMember(name, "127.0.0.1:" + std::to_string(source.port()) + " 2");
+    startDaemon();
+    // The daemon registers itself first, and reads the members again after 2 s.
+    REQUIRE(eventually([&] { return bytes > 0; }, 8s));
+    auto const before = bytes.load();
+    std::this_thread::sleep_for(2s);
+    CHECK(bytes - before < 2 * maxBytesPerSecond);
+    CHECK(call("GET", "/read/1").status() == 200);
+}
+
 // When all daemons start at once, all request all rows from the seeds. With some thousand targets the responses
 // together took more memory than the smallest VM has (160 MB).
 TEST_CASE_METHOD(EntryFixture, "Entry_ManyDaemonsRequestAllRows_ResponsesFitIntoTheMemoryOfTheSmallestVm")
