--- a/Tests/LibTraffic/TestRelay.cpp
+++ b/Tests/LibTraffic/TestRelay.cpp
@@ -106,8 +106,8 @@
     CHECK(incomplete > 0);
 }
 
-// A daemon applies only the rows that changed since the last time. A missed change or removal would leave a target in use
-// that has gone.
+// A daemon applies only the rows that changed since the last time. A missed change or removal would leave a target in
+// use that has gone.
 TEST_CASE_METHOD(RelayFixture, "SharedRows_ChangesSinceAVersion_LeadToTheSameRows")
 {
     constexpr unsigned seed = 815;
--- a/Tests/comfreysaild/TestEntryState.cpp
+++ b/Tests/comfreysaild/TestEntryState.cpp
@@ -220,8 +220,8 @@
     daemon().kill();
 }
 
-// A source that does not hold requests back until there is a change, for whatever reason, must not make all daemons poll
-// without a pause. Control traffic of a daemon may take 29 kB/s (docs/design.md, 1.5).
+// A source that does not hold requests back until there is a change, for whatever reason, must not make all daemons
+// poll without a pause. Control traffic of a daemon may take 29 kB/s (docs/design.md, 1.5).
 TEST_CASE_METHOD(EntryFixture, "Entry_SourceRespondsAtOnce_ControlTrafficStaysWithinItsLimit")
 {
     constexpr size_t maxBytesPerSecond = 29'000;
