Meta: Add a fault soak of the real programs

`Meta/comfreysail.sh soak` starts daemons, the fake platform, targets and callers as processes, injects faults that follow from a seed, and checks the promises from what callers and targets see.

--- /dev/null
+++ b/Meta/Cluster/soak.py
@@ -0,0 +1,523 @@
+"""Runs real daemons under random faults and checks the promises from what callers and targets see.
+
+The first line names the seed, which determines the faults and their times. A seed that fails keeps its logs; the last
+lines say what was broken and print the command that plays it again."""
+
+import argparse
+import asyncio
+import os
+import random
+import signal
+import sys
+import time
+
+import cluster
+from soak_peers import SoakCaller, SoakTarget, StoreLink
+
+# The bounds of the users' site files, in seconds.
+CONFIG_APPLY = 3.0
+DRAIN = 3.0
+GRACE = 6.0
+CONTACT = 4.0
+RECOVER = 15.0
+MAX_RESIDENT_KB = 80 * 1024
+MAX_DESCRIPTORS = 400
+
+ROLLBACK_SLACK = 0.25
+
+ROUTES = {"read": "safe", "pay": "unsafe", "upload": "upload", "trial": "safe"}
+# Each change of the settings adds a route with this prefix and the version. The requests on it show which settings a
+# daemon has.
+ADDED = "added"
+NOT_RUN = (408, 421, 429, 503)
+
+
+class Record:
+    """One request of a caller and its end."""
+
+    def __init__(self, request_id, kind, daemon):
+        self.request_id = request_id
+        self.kind = kind
+        self.sent_at = time.monotonic()
+        self.daemon = daemon.name
+        self.incarnation = daemon.incarnation
+        self.ended_at = None
+        self.result = None
+        self.is_wrong = False
+        self.runs = []
+
+    def finish(self, result, daemon, is_wrong=False):
+        self.ended_at = time.monotonic()
+        self.result = result
+        self.is_wrong = is_wrong
+        # A daemon that was killed may cut requests; one that was stopped as planned may not.
+        self.was_killed = daemon.kill_times and daemon.kill_times[-1] > self.sent_at - 0.1
+
+
+class Journal:
+    """All requests and runs of one seed."""
+
+    def __init__(self):
+        self.records = {}
+        self.unknown_runs = []
+        self.late_runs = []
+
+    def note_request(self, request_id, kind, daemon):
+        self.records[request_id] = Record(request_id, kind, daemon)
+        return self.records[request_id]
+
+    def note_run(self, request_id, target, path):
+        now = time.monotonic()
+        record = self.records.get(request_id)
+        if record is None or not path.endswith("/" + request_id):
+            self.unknown_runs.append((request_id, target.name, path))
+            return
+        record.runs.append((now, target))
+        # The request itself was sent later than the bound, so it cannot have been on its way.
+        if target.left_at is not None and record.sent_at > target.left_at + DRAIN:
+            self.late_runs.append((request_id, target.name, now - target.left_at))
+
+
+class SoakDaemon(cluster.Program):
+    def __init__(self, name, ports, seeds, link, folder):
+        self.caller_port, self.admin_port, self.control_port = ports
+        self.link = link
+        self.is_ready = False
+        self.incarnation = 0
+        self.kill_times = []
+        self.misses = 0
+        settings = os.path.join(folder, f"{name}.toml")
+        lines = [f'vm_name = "{name}"', 'availability_zone = "pos-hall"', 'placement = "ask_targets"']
+        lines += [f'grace_seconds = "{GRACE}"', 'memory_mb = "64"', "balancer_lag_ms = 600"]
+        for section, port in (("caller", ports[0]), ("admin", ports[1]), ("platform", link.port), ("control", ports[2])):
+            lines += [f"[{section}]", 'address = "127.0.0.1"', f"port = {port}"]
+        lines += ["seeds = [" + ", ".join(f'"127.0.0.1:{port}"' for port in seeds) + "]"]
+        with open(settings, "w") as file:
+            file.write("\n".join(lines) + "\n")
+        super().__init__(name, [os.path.join(cluster.BIN, "comfreysaild"), "--settings", settings], folder)
+
+    def restart(self):
+        if not self.is_running:
+            self.incarnation += 1
+            self.start()
+
+    async def poll_ready(self):
+        """Asks as the platform does: two misses take the daemon out."""
+        while True:
+            try:
+                reader, writer = await asyncio.wait_for(asyncio.open_connection("127.0.0.1", self.admin_port), 0.3)
+                writer.write(b"GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+                line = await asyncio.wait_for(reader.readline(), 0.3)
+                writer.close()
+                self.misses = 0 if b" 200 " in line else self.misses + 1
+            except (OSError, asyncio.TimeoutError):
+                self.misses += 1
+            self.is_ready = self.misses < 2
+            await asyncio.sleep(0.25)
+
+    def usage(self):
+        """Returns the resident memory in kB and the number of open descriptors."""
+        with open(f"/proc/{self.process.pid}/status") as status:
+            resident = next(int(line.split()[1]) for line in status if line.startswith("VmRSS"))
+        return resident, len(os.listdir(f"/proc/{self.process.pid}/fd"))
+
+
+class Event:
+    """A fault of the schedule. `time` counts from the start of the load."""
+
+    KINDS = {
+        "term": 3, "kill": 2, "kill-all": 1, "pause": 3, "target-fault": 5, "target-crash": 2, "target-leaves": 2,
+        "target-lapses": 1, "store-mode": 3, "store-link": 3, "settings": 3, "withdraw": 2,
+    }
+
+    def __init__(self, generator, seconds):
+        self.kind = generator.choices(list(self.KINDS), list(self.KINDS.values()))[0]
+        self.time = generator.uniform(0.5, seconds)
+        self.duration = generator.uniform(0.3, 4.0)
+        self.draw = generator.random()
+        self.choice = generator.random()
+
+    def __str__(self):
+        return f"{self.time:.2f}s {self.kind} for {self.duration:.2f}s, {self.draw:.3f} {self.choice:.3f}"
+
+
+class Soak:
+    def __init__(self, seed, options):
+        self.seed = seed
+        self.options = options
+        generator = random.Random(seed)
+        self.events = [Event(generator, options.seconds) for _ in range(generator.randrange(4, 14))]
+        if options.only is not None:
+            self.events = [event for index, event in enumerate(self.events) if index in options.only]
+        self.generator = random.Random(seed + 1)
+        self.system = cluster.Cluster()
+        self.journal = Journal()
+        self.targets = []
+        self.daemons = []
+        self.left = []
+        self.callers = []
+        self.tasks = []
+        self.version = 1
+        self.settings_lock = asyncio.Lock()  # Versions are written in their order.
+        self.routes = dict(ROUTES)
+        self.added_at = {}  # Time at which the store acknowledged each added route.
+        self.withdrawn_at = None
+        self.targets_started = 0
+        self.disturbed = []  # Times of faults of the store or of targets: (start, end).
+        self.problems = []
+
+    async def store(self, method, path, body=None):
+        """Calls the store on its control port, which has no faults. Runs in a thread, since targets share this loop."""
+        address = f"127.0.0.1:{self.system.platform_control_port}"
+        return await asyncio.to_thread(cluster.call, method, address, path, body)
+
+    async def write_rows(self, puts=(), deletes=()):
+        rows = lambda items: [{"table": table, "part": "", "key": key, **value} for table, key, value in items]
+        body = {"precondition": [], "puts": rows(puts), "deletes": rows(deletes)}
+        await self.store("POST", "/rows-tx", body)
+
+    async def write_settings(self):
+        routes = [
+            {"name": name, "host": "orders.test", "prefix": f"/{name}/", "kind": self.routes[name], "timeout-s": 1.5,
+             "target-latency-s": 0.4, "priority": 1, "service": "orders", "max-attempts": 2}
+            for name in sorted(self.routes)
+        ]
+        service = {"name": "orders", "health-path": "/health", "max-conns": 220, "protocol": "h1", "tls": False}
+        value = {"version": self.version, "routes": routes, "services": [{**service, "cold-start-s": 3, "cold-per-s": 4.8}],
+                 "limits": {"max-header-bytes": 16384, "max-body-bytes": 1000000, "header-timeout-s": 3, "idle-timeout-s": 15}}
+        await self.write_rows([("op", "config", {"value": cluster.encode_value(value)})])
+
+    async def register(self, target, state="ready"):
+        value = {"service": "orders", "addr": f"127.0.0.1:{target.port}", "zone": "pos-hall", "version": "v1", "slots": 2,
+                 "state": state, "cold-left-s": 0, "sequence": 1, "born": 1}
+        await self.write_rows([("servers", target.name, {"value": cluster.encode_value(value)})])
+
+    async def add_target(self):
+        self.targets_started += 1
+        target = SoakTarget(f"t{self.targets_started}", self.journal, random.Random(self.seed * 100 + self.targets_started))
+        await target.start()
+        await self.register(target)
+        self.targets.append(target)
+        return target
+
+    async def start(self):
+        self.system.platform = self.system.add(cluster.Program("platform", [
+            os.path.join(cluster.BIN, "FakePlatform"), "--port", str(self.system.platform_port),
+            "--control-port", str(self.system.platform_control_port)], self.system.folder))
+        while (await self.store("GET", "/rows-get?table=op"))[0] != 200:
+            await asyncio.sleep(0.05)
+        await self.write_settings()
+        for _ in range(self.options.targets):
+            await self.add_target()
+        ports = cluster.free_ports(3 * self.options.daemons)
+        groups = [tuple(ports[3 * index : 3 * index + 3]) for index in range(self.options.daemons)]
+        for index, group in enumerate(groups):
+            link = StoreLink(self.system.platform_port)
+            await link.start()
+            daemon = SoakDaemon(f"vm-{index + 1}", group, [other[2] for other in groups[:3]], link, self.system.folder)
+            self.daemons.append(self.system.add(daemon))
+            self.system.daemons.append(daemon)
+            self.tasks.append(asyncio.create_task(daemon.poll_ready()))
+        await self.until(lambda: all(daemon.is_ready for daemon in self.daemons), 10, "all daemons are ready")
+
+    async def until(self, condition, seconds, what):
+        end = time.monotonic() + seconds
+        while not condition():
+            if time.monotonic() > end:
+                self.problems.append(f"not after {seconds} s: {what}")
+                return False
+            await asyncio.sleep(0.05)
+        return True
+
+    def pick(self, items, event):
+        return items[int(event.choice * len(items))]
+
+    async def play(self, event):
+        await asyncio.sleep(event.time)
+        started = time.monotonic()
+        await getattr(self, "play_" + event.kind.replace("-", "_"))(event)
+        if event.kind.startswith(("target", "store")):
+            self.disturbed.append((started, time.monotonic()))
+
+    async def play_term(self, event):
+        daemon = self.pick(self.daemons, event)
+        daemon.send(signal.SIGTERM)
+        if event.draw < 0.3:
+            await asyncio.sleep(0.3)
+            daemon.send(signal.SIGTERM)
+        end = time.monotonic() + GRACE
+        while daemon.is_running and time.monotonic() < end:
+            await asyncio.sleep(0.02)
+        if daemon.is_running:
+            daemon.kill_times.append(time.monotonic())
+            daemon.kill()
+        daemon.restart()
+
+    async def play_kill(self, event):
+        daemon = self.pick(self.daemons, event)
+        daemon.kill_times.append(time.monotonic())
+        daemon.kill()
+        await asyncio.sleep(event.duration / 4)
+        daemon.restart()
+
+    async def play_kill_all(self, event):
+        for daemon in self.daemons:
+            daemon.kill_times.append(time.monotonic())
+            daemon.kill()
+        await asyncio.sleep(0.2)
+        for daemon in self.daemons:
+            daemon.restart()
+
+    async def play_pause(self, event):
+        daemon = self.pick(self.daemons, event)
+        started = time.monotonic()
+        daemon.send(signal.SIGSTOP)
+        await asyncio.sleep(event.duration)
+        daemon.send(signal.SIGCONT)
+        self.disturbed.append((started, time.monotonic()))
+
+    async def play_target_fault(self, event):
+        target = self.pick(self.targets, event)
+        target.fault = SoakTarget.FAULTS[int(event.draw * len(SoakTarget.FAULTS))]
+        await asyncio.sleep(event.duration)
+        target.fault = None
+
+    async def play_target_crash(self, event):
+        target = self.pick(self.targets, event)
+        if len(self.targets) < 3:
+            return
+        self.targets.remove(target)
+        await target.stop()
+        await asyncio.sleep(event.duration / 2)
+        await self.write_rows(deletes=[("servers", target.name, {})])
+        await self.add_target()
+
+    async def play_target_leaves(self, event):
+        target = self.pick(self.targets, event)
+        if len(self.targets) < 3:
+            return
+        self.targets.remove(target)
+        self.left.append(target)
+        await self.add_target()
+        if event.draw < 0.6:
+            await self.register(target, "draining")
+        else:
+            await self.write_rows(deletes=[("servers", target.name, {})])
+        if not self.is_store_disturbed():
+            target.left_at = time.monotonic()
+
+    async def play_target_lapses(self, event):
+        """The registration expires while the store is down and is back shortly after."""
+        target = self.pick(self.targets, event)
+        self.system.platform_fault("down")
+        await asyncio.sleep(event.duration)
+        await self.write_rows(deletes=[("servers", target.name, {})])
+        self.system.platform_fault("up")
+        await asyncio.sleep(0.5)
+        await self.register(target)
+
+    async def play_store_mode(self, event):
+        mode = ("down", "hang", "slow", "lose_answers", "late", "busy", "too_many")[int(event.draw * 7)]
+        await self.store("POST", "/faults", {"mode": mode, "delay_ms": 600})
+        await asyncio.sleep(event.duration)
+        await self.store("POST", "/faults", {"mode": "up"})
+
+    async def play_store_link(self, event):
+        link = self.pick(self.daemons, event).link
+        link.set_mode(StoreLink.MODES[int(event.draw * len(StoreLink.MODES))])
+        await asyncio.sleep(event.duration)
+        link.set_mode(None)
+
+    async def play_settings(self, event):
+        async with self.settings_lock:
+            self.version += 1 + int(event.draw * 5)
+            name = f"{ADDED}{self.version}"
+            self.routes[name] = "safe"
+            await self.write_settings()
+            self.added_at[name] = time.monotonic()
+
+    async def play_withdraw(self, event):
+        """The route "trial" is withdrawn; it does not come back in this run."""
+        async with self.settings_lock:
+            self.version += 1
+            self.routes.pop("trial", None)
+            await self.write_settings()
+            if self.withdrawn_at is None:
+                self.withdrawn_at = time.monotonic()
+
+    def is_store_disturbed(self):
+        return any(daemon.link.mode for daemon in self.daemons)
+
+    async def run(self):
+        try:
+            await self.start()
+            for number in range(self.options.callers):
+                caller = SoakCaller(number, self, random.Random(self.seed * 1000 + number))
+                self.callers.append(caller)
+                self.tasks.append(asyncio.create_task(caller.run()))
+            await asyncio.gather(*(self.play(event) for event in self.events))
+            await self.recover()
+            for caller in self.callers:
+                caller.is_stopping = True
+            await asyncio.sleep(4)
+            self.check()
+        finally:
+            for task in self.tasks:
+                task.cancel()
+            await asyncio.to_thread(self.system.stop)
+            for target in self.targets + self.left:
+                await target.stop()
+        return self.problems
+
+    async def recover(self):
+        """After the last fault, requests must be served again within the bound."""
+        for daemon in self.daemons:
+            daemon.send(signal.SIGCONT)
+            daemon.restart()
+            daemon.link.set_mode(None)
+        await self.store("POST", "/faults", {"mode": "up"})
+        end = time.monotonic() + RECOVER
+        while True:
+            start = time.monotonic()
+            await asyncio.sleep(1.5)
+            recent = [
+                record for record in self.journal.records.values()
+                if record.sent_at > start and record.ended_at and record.kind != "trial"
+            ]
+            if len(recent) >= 20 and all(record.result == 200 for record in recent):
+                break
+            if time.monotonic() > end:
+                results = sorted({str(record.result) for record in recent})
+                self.problems.append(f"not recovered after {RECOVER} s: {len(recent)} requests ended with {results}")
+                break
+        for daemon in self.daemons:
+            resident, descriptors = daemon.usage()
+            if resident > MAX_RESIDENT_KB or descriptors > MAX_DESCRIPTORS:
+                self.problems.append(f"{daemon.name} holds {resident} kB and {descriptors} descriptors")
+
+    def check(self):
+        found = self.problems
+        records = self.journal.records.values()
+        found += [f"run of an unknown request: {run}" for run in self.journal.unknown_runs]
+        found += [f"a target that had left ran {run}" for run in self.journal.late_runs if not self.was_disturbed(run)]
+        for record in records:
+            name = f"{record.request_id} ({record.kind}, {record.daemon}, {record.result})"
+            is_once = ROUTES.get(record.kind) in ("unsafe", "upload")
+            if record.is_wrong:
+                found.append(f"wrong answer: {name}")
+            if is_once and len(record.runs) > 1:
+                found.append(f"ran {len(record.runs)} times: {name}")
+            if record.result in NOT_RUN and is_once and record.runs:
+                found.append(f"said not to have run: {name}")
+            if record.result == 200 and not record.runs:
+                found.append(f"answered without a run: {name}")
+            if record.result == "timeout" and not self.was_disturbed_at(record.sent_at):
+                found.append(f"no response in time: {name}")
+            if record.result == "no response" and record.runs and not record.was_killed and not self.was_disturbed_at(record.sent_at):
+                found.append(f"cut although its daemon was not killed: {name}")
+            if self.withdrawn_at and record.kind == "trial" and record.result == 200:
+                late = record.sent_at - self.withdrawn_at
+                if late > CONFIG_APPLY and not self.was_disturbed_at(record.sent_at):
+                    found.append(f"served by a route withdrawn {late:.2f} s before: {name}")
+            if record.kind in self.added_at and record.result == 404:
+                late = record.sent_at - self.added_at[record.kind]
+                if late > CONFIG_APPLY and not self.was_disturbed_at(record.sent_at):
+                    found.append(f"refused on a route added {late:.2f} s before: {name}")
+        self.check_settings_never_go_back()
+
+    def check_settings_never_go_back(self):
+        """A daemon that knew an added route knows it, and all added before, until it is started again."""
+        newest = {}
+        added = [record for record in self.journal.records.values() if record.kind in self.added_at and record.ended_at]
+        for record in sorted(added, key=lambda record: record.ended_at):
+            if record.result == 200:
+                newest.setdefault((record.daemon, record.incarnation), []).append((record.ended_at, self.added_at[record.kind]))
+        for record in added:
+            if record.result != 404:
+                continue
+            known = newest.get((record.daemon, record.incarnation), [])
+            if any(end + ROLLBACK_SLACK < record.sent_at and at >= self.added_at[record.kind] for end, at in known):
+                self.problems.append(f"settings went back: {record.request_id} ({record.kind}, {record.daemon})")
+
+    def was_disturbed_at(self, moment):
+        """Whether a fault that may excuse a broken bound was there at this time, or ended shortly before."""
+        return any(start - 0.5 <= moment <= end + CONTACT for start, end in self.disturbed)
+
+    def was_disturbed(self, late_run):
+        return self.was_disturbed_at(self.journal.records[late_run[0]].sent_at)
+
+    def summary(self):
+        counts = {}
+        for record in self.journal.records.values():
+            counts[str(record.result)] = counts.get(str(record.result), 0) + 1
+        return " ".join(f"{key.replace(' ', '_')}={counts[key]}" for key in sorted(counts))
+
+
+def play(seed, options):
+    print(f"seed={seed}", flush=True)
+    soak = Soak(seed, options)
+    try:
+        problems = asyncio.run(soak.run())
+    except BaseException:
+        soak.system.stop()
+        print(f"interrupted; logs: {soak.system.folder}", file=sys.stderr)
+        raise
+    print(f"seed={seed} events={len(soak.events)} requests={len(soak.journal.records)} {soak.summary()} problems={len(problems)}", flush=True)
+    if not problems:
+        soak.system.remove_folder()
+        return True
+    for event in soak.events:
+        print(f"  event {event}")
+    for problem in problems[:20]:
+        print(f"  {problem}")
+    print(f"  logs: {soak.system.folder}")
+    only = "" if options.only is None else " --only " + ",".join(map(str, sorted(options.only)))
+    print(f"  again: Meta/comfreysail.sh soak --seed {seed} --seconds {options.seconds} --daemons {options.daemons}{only}", flush=True)
+    return False
+
+
+def shrink(seed, options):
+    """Leaves out events one by one as long as the seed still fails."""
+    generator = random.Random(seed)
+    kept = set(range(len([Event(generator, options.seconds) for _ in range(generator.randrange(4, 14))])))
+    for index in sorted(kept):
+        options.only = kept - {index}
+        if not play(seed, options):
+            kept = options.only
+    print(f"smallest failing schedule: --seed {seed} --only {','.join(map(str, sorted(kept)))}")
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, help="plays this seed only, or the first of --seeds")
+    parser.add_argument("--seeds", type=int, default=1, help="number of seeds")
+    parser.add_argument("--minutes", type=float, help="plays seeds until this time is over")
+    parser.add_argument("--seconds", type=float, default=10, help="time in which the faults of a seed begin")
+    parser.add_argument("--daemons", type=int, default=4)
+    parser.add_argument("--targets", type=int, default=6)
+    parser.add_argument("--callers", type=int, default=16)
+    parser.add_argument("--only", type=lambda text: {int(part) for part in text.split(",")}, help="numbers of the events to play")
+    parser.add_argument("--shrink", action="store_true", help="looks for a smaller schedule that still fails")
+    options = parser.parse_args()
+    seed = options.seed if options.seed is not None else random.SystemRandom().randrange(1 << 31)
+    # SIGTERM ends the run as Ctrl-C does, so that all processes are stopped.
+    signal.signal(signal.SIGTERM, lambda *_: signal.raise_signal(signal.SIGINT))
+    if options.shrink:
+        shrink(seed, options)
+        return 0
+    end = time.monotonic() + options.minutes * 60 if options.minutes else None
+    failed = []
+    played = 0
+    while time.monotonic() < end if end else played < options.seeds:
+        if not play(seed + played, options):
+            failed.append(seed + played)
+        played += 1
+    print(f"seeds={played} failed={len(failed)} {' '.join(map(str, failed))}".rstrip())
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    try:
+        sys.exit(main())
+    except KeyboardInterrupt:
+        sys.exit(130)
--- /dev/null
+++ b/Meta/Cluster/soak_peers.py
@@ -0,0 +1,287 @@
+"""Targets, callers and the link to the store, as the soak plays them around the real daemons."""
+
+import asyncio
+import random
+import socket
+import struct
+import time
+
+HOST = "orders.test"
+READ_LIMIT = 1 << 20
+# How long a target runs a request, in seconds.
+WORK = (0.005, 0.06)
+
+
+def close_hard(writer):
+    """Resets the connection."""
+    raw = writer.get_extra_info("socket")
+    if raw is not None and raw.fileno() >= 0:
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.close()
+
+
+async def read_message(reader):
+    """Reads a head and its body. Returns (first line, lower-case fields, body); raises if it is incomplete."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    first, *lines = head[:-4].split("\r\n")
+    fields = {name.lower(): value.strip() for name, _, value in (line.partition(":") for line in lines)}
+    body = b""
+    if "chunked" in fields.get("transfer-encoding", ""):
+        while True:
+            size = int((await reader.readuntil(b"\r\n")).split(b";")[0], 16)
+            body += (await reader.readexactly(size + 2))[:-2]
+            if size == 0:
+                break
+    elif "content-length" in fields:
+        body = await reader.readexactly(int(fields["content-length"]))
+    elif first.startswith("HTTP/") and first.split()[1] not in ("204", "304"):
+        raise ValueError("a response without a length cannot be checked")
+    return first, fields, body
+
+
+def answer_for(request_id, body):
+    return f"answer {request_id} {len(body)} ".encode() + b"x" * (sum(request_id.encode()) % 3000)
+
+
+class SoakTarget:
+    """A target that records what it runs. `fault` changes how it answers."""
+
+    FAULTS = ("slow", "mute", "reset", "truncate", "copy", "late-copy", "foreign", "shed", "endless", "garbage", "drip")
+
+    def __init__(self, name, journal, generator):
+        self.name = name
+        self.journal = journal
+        self.generator = generator
+        self.fault = None
+        self.left_at = None
+        self.running = 0
+        self.slots = 2
+        self.server = None
+        self.writers = set()
+        self.port = 0
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0, limit=READ_LIMIT)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def stop(self):
+        self.server.close()
+        for writer in list(self.writers):
+            close_hard(writer)
+
+    async def serve(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            while await self.serve_one(reader, writer):
+                pass
+        except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError, ValueError):
+            pass
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    def fields(self, request_id):
+        load = f"X-Comfreysail-Backend-Load: {min(self.running, self.slots)},{max(0, self.running - self.slots)},{self.slots},100\r\n"
+        return f"X-Comfreysail-Request-Id: {request_id}\r\n{load}" if request_id else load
+
+    async def serve_one(self, reader, writer):
+        first, fields, body = await read_message(reader)
+        method, path, _ = first.split()
+        request_id = fields.get("x-comfreysail-request-id", "")
+        if path == "/health":
+            if self.fault == "mute":
+                await asyncio.sleep(5)
+                return False
+            identity = f"X-Comfreysail-Instance-Id: {self.name}\r\n"
+            writer.write(f"HTTP/1.1 200 OK\r\n{identity}{self.fields('')}Content-Length: 0\r\n\r\n".encode())
+            await writer.drain()
+            return True
+        expected = fields.get("x-comfreysail-expect-instance", self.name)
+        refusal = "421 Misdirected Request" if expected != self.name else None
+        if self.fault == "shed" or self.running >= self.slots + 4:
+            refusal = refusal or "503 Service Unavailable"
+        if refusal:
+            writer.write(
+                f"HTTP/1.1 {refusal}\r\n{self.fields(request_id)}X-Comfreysail-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n".encode()
+            )
+            await writer.drain()
+            return True
+        self.journal.note_run(request_id, self, path)
+        self.running += 1
+        try:
+            await asyncio.sleep(self.generator.uniform(*WORK) * (8 if self.fault == "slow" else 1))
+        finally:
+            self.running -= 1
+        return await self.respond(writer, request_id, body)
+
+    async def respond(self, writer, request_id, body):
+        content = answer_for(request_id, body)
+        signature = f"X-Comfreysail-Backend-Signature: s.{request_id}\r\n"
+        head = f"HTTP/1.1 200 OK\r\n{self.fields(request_id)}{signature}Content-Length: {len(content)}\r\n\r\n".encode()
+        whole = head + content
+        fault = self.fault if self.generator.random() < 0.6 else None
+        if fault == "mute":
+            await asyncio.sleep(5)
+            return False
+        if fault == "reset":
+            close_hard(writer)
+            return False
+        if fault == "truncate":
+            writer.write(whole[: self.generator.randrange(1, len(whole))])
+            await writer.drain()
+            if self.generator.random() < 0.5:
+                close_hard(writer)
+            return False
+        if fault == "garbage":
+            writer.write(bytes(self.generator.randrange(256) for _ in range(300)))
+            await writer.drain()
+            return False
+        if fault == "endless":
+            start = [b"HTTP/1.1 200 OK\r\nX-A: ", b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", b"HTTP/1.1 1"]
+            writer.write(self.generator.choice(start))
+            while not writer.is_closing():
+                writer.write(b"a" * 4096)
+                await writer.drain()
+                await asyncio.sleep(0)
+            return False
+        if fault == "drip":
+            for offset in range(0, min(len(whole), 200)):
+                writer.write(whole[offset : offset + 1])
+                await writer.drain()
+                await asyncio.sleep(0.002)
+            writer.write(whole[200:])
+        elif fault == "foreign":
+            writer.write(whole.replace(request_id.encode(), b"another"))
+        else:
+            writer.write(whole)
+        await writer.drain()
+        if fault == "copy":
+            writer.write(whole)
+        if fault == "late-copy":
+            await asyncio.sleep(self.generator.uniform(0, 0.3))
+            writer.write(whole)
+        await writer.drain()
+        return True
+
+
+class StoreLink:
+    """Forwards one daemon's connections to the store. `mode` changes what passes."""
+
+    MODES = ("silent", "reset", "one-way", "slow", "refuse")
+
+    def __init__(self, store_port):
+        self.store_port = store_port
+        self.mode = None
+        self.server = None
+        self.port = 0
+        self.writers = set()
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def serve(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            if self.mode == "refuse":
+                return
+            store_reader, store_writer = await asyncio.open_connection("127.0.0.1", self.store_port)
+            self.writers.add(store_writer)
+            await asyncio.gather(self.copy(reader, store_writer, False), self.copy(store_reader, writer, True))
+            self.writers.discard(store_writer)
+            store_writer.close()
+        except OSError:
+            pass
+        finally:
+            self.writers.discard(writer)
+            close_hard(writer)
+
+    async def copy(self, reader, writer, is_answer):
+        try:
+            while data := await reader.read(65536):
+                if self.mode == "silent" or (self.mode == "one-way" and is_answer):
+                    continue
+                if self.mode == "reset":
+                    close_hard(writer)
+                    return
+                if self.mode == "slow":
+                    await asyncio.sleep(0.4)
+                writer.write(data)
+                await writer.drain()
+        except OSError:
+            pass
+        finally:
+            writer.close()
+
+    def set_mode(self, mode):
+        self.mode = mode
+        if mode in ("refuse", "reset"):
+            for writer in list(self.writers):
+                close_hard(writer)
+
+
+class SoakCaller:
+    """Sends requests one after the other and keeps its connection until the daemon closes it."""
+
+    def __init__(self, number, soak, generator):
+        self.number = number
+        self.soak = soak
+        self.journal = soak.journal
+        self.generator = generator
+        self.sent = 0
+        self.is_stopping = False
+
+    def choose(self):
+        ready = [daemon for daemon in self.soak.daemons if daemon.is_ready]
+        return self.generator.choice(ready or self.soak.daemons)
+
+    async def run(self):
+        while not self.is_stopping:
+            daemon = self.choose()
+            try:
+                reader, writer = await asyncio.open_connection("127.0.0.1", daemon.caller_port, limit=READ_LIMIT)
+            except OSError:
+                await asyncio.sleep(0.1)
+                continue
+            try:
+                while not self.is_stopping and await self.send_one(daemon, reader, writer):
+                    await asyncio.sleep(self.generator.uniform(0, 0.06))
+            finally:
+                writer.close()
+
+    def request(self):
+        self.sent += 1
+        request_id = f"c{self.number}n{self.sent}"
+        kinds = ["read", "pay", "upload", "trial", *self.soak.added_at]
+        kind = self.generator.choices(kinds, [5, 4, 1, 2] + [2] * len(self.soak.added_at))[0]
+        body = b"" if kind not in ("pay", "upload") else b"b" * self.generator.randrange(1, 60 if kind == "pay" else 200000)
+        method = "POST" if body else "GET"
+        lines = [f"{method} /{kind}/{request_id} HTTP/1.1", f"Host: {HOST}", f"X-Comfreysail-Request-Id: {request_id}"]
+        lines += ["X-Comfreysail-Deadline-Ms: 2000"]
+        if body and self.generator.random() < 0.3:
+            framing = "Transfer-Encoding: chunked"
+            half = len(body) // 2
+            pieces = [piece for piece in (body[:half], body[half:]) if piece]
+            framed = b"".join(b"%x\r\n%s\r\n" % (len(piece), piece) for piece in pieces) + b"0\r\n\r\n"
+        else:
+            framing, framed = f"Content-Length: {len(body)}", body
+        if body:
+            lines.append(framing)
+        return request_id, kind, body, "\r\n".join(lines).encode() + b"\r\n\r\n" + framed
+
+    async def send_one(self, daemon, reader, writer):
+        request_id, kind, body, text = self.request()
+        record = self.journal.note_request(request_id, kind, daemon)
+        try:
+            writer.write(text)
+            await asyncio.wait_for(writer.drain(), 3)
+            first, fields, content = await asyncio.wait_for(read_message(reader), 3.5)
+        except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError, ValueError, asyncio.TimeoutError) as error:
+            record.finish("no response" if not isinstance(error, asyncio.TimeoutError) else "timeout", daemon)
+            return False
+        status = int(first.split()[1])
+        is_right = content == answer_for(request_id, body) and fields.get("x-comfreysail-request-id") == request_id
+        record.finish(status, daemon, is_wrong=status == 200 and not is_right)
+        if status in (429, 503):
+            await asyncio.sleep(min(float(fields.get("retry-after", "0.1")), 0.5))
+        return fields.get("connection", "").lower() != "close"
--- a/Meta/comfreysail.sh
+++ b/Meta/comfreysail.sh
@@ -5,6 +5,7 @@
 #   Meta/comfreysail.sh test
 #   Meta/comfreysail.sh run [--seconds N] [--keep]
 #   Meta/comfreysail.sh bench NAME [options]
+#   Meta/comfreysail.sh soak [--seed S] [--seeds N | --minutes M]
 #   Meta/comfreysail.sh format
 set -euo pipefail
 
@@ -12,7 +13,7 @@
 source Meta/common.sh
 
 usage() {
-    sed -n '2,8s/^# \{0,1\}//p' Meta/comfreysail.sh
+    sed -n '2,9s/^# \{0,1\}//p' Meta/comfreysail.sh
     echo
     echo "benches: $(cd Meta && ls bench-*.sh 2>/dev/null | sed 's/^bench-//; s/\.sh$//' | tr '\n' ' ')"
 }
@@ -30,6 +31,7 @@
     Meta/check-format.sh
     build
     Meta/lint.sh
+    python3 Meta/Cluster/soak.py --seed 1 --seeds 2 --seconds 5
     Meta/run-tests.sh
     ;;
 run)
@@ -49,6 +51,11 @@
     build
     exec "Meta/bench-$name.sh" "$@"
     ;;
+soak)
+    install_packages
+    build
+    exec python3 Meta/Cluster/soak.py "$@"
+    ;;
 format)
     source_files | xargs clang-format -i
     ;;
