Meta: Let the soak mix kinds of damage, and excuse nothing by a pause

Change: eight to twenty events a seed, three kinds of damage at once, and a pause of a daemon excuses slow responses only.

--- a/Meta/Cluster/soak.py
+++ b/Meta/Cluster/soak.py
@@ -30,6 +30,9 @@
 # daemon has.
 ADDED = "added"
 NOT_RUN = (408, 421, 429, 503)
+# Number of events of a seed, and of kinds of damage that one faulty target mixes.
+EVENTS = (8, 20)
+FAULTS_AT_ONCE = 3
 
 
 class Record:
@@ -126,7 +129,7 @@
     """A fault of the schedule. `time` counts from the start of the load."""
 
     KINDS = {
-        "term": 3, "kill": 2, "kill-all": 1, "pause": 3, "target-fault": 5, "target-crash": 2, "target-leaves": 2,
+        "term": 3, "kill": 2, "kill-all": 1, "pause": 3, "target-fault": 8, "target-crash": 2, "target-leaves": 2,
         "target-lapses": 1, "store-mode": 3, "store-link": 3, "settings": 3, "withdraw": 2,
     }
 
@@ -146,7 +149,7 @@
         self.seed = seed
         self.options = options
         generator = random.Random(seed)
-        self.events = [Event(generator, options.seconds) for _ in range(generator.randrange(4, 14))]
+        self.events = [Event(generator, options.seconds) for _ in range(generator.randrange(*EVENTS))]
         if options.only is not None:
             self.events = [event for index, event in enumerate(self.events) if index in options.only]
         self.generator = random.Random(seed + 1)
@@ -164,6 +167,7 @@
         self.withdrawn_at = None
         self.targets_started = 0
         self.disturbed = []  # Times of faults of the store or of targets: (start, end).
+        self.paused = []  # Times of pauses of daemons. They excuse slow responses, but nothing done with old knowledge.
         self.problems = []
 
     async def store(self, method, path, body=None):
@@ -274,13 +278,13 @@
         daemon.send(signal.SIGSTOP)
         await asyncio.sleep(event.duration)
         daemon.send(signal.SIGCONT)
-        self.disturbed.append((started, time.monotonic()))
+        self.paused.append((started, time.monotonic()))
 
     async def play_target_fault(self, event):
         target = self.pick(self.targets, event)
-        target.fault = SoakTarget.FAULTS[int(event.draw * len(SoakTarget.FAULTS))]
+        target.faults = random.Random(event.draw).sample(SoakTarget.FAULTS, FAULTS_AT_ONCE)
         await asyncio.sleep(event.duration)
-        target.fault = None
+        target.faults = ()
 
     async def play_target_crash(self, event):
         target = self.pick(self.targets, event)
@@ -411,9 +415,9 @@
                 found.append(f"said not to have run: {name}")
             if record.result == 200 and not record.runs:
                 found.append(f"answered without a run: {name}")
-            if record.result == "timeout" and not self.was_disturbed_at(record.sent_at):
+            if record.result == "timeout" and not self.was_disturbed_at(record.sent_at, self.disturbed + self.paused):
                 found.append(f"no response in time: {name}")
-            if record.result == "no response" and record.runs and not record.was_killed and not self.was_disturbed_at(record.sent_at):
+            if record.result == "no response" and record.runs and not record.was_killed and not self.was_disturbed_at(record.sent_at, self.disturbed + self.paused):
                 found.append(f"cut although its daemon was not killed: {name}")
             if self.withdrawn_at and record.kind == "trial" and record.result == 200:
                 late = record.sent_at - self.withdrawn_at
@@ -439,9 +443,9 @@
             if any(end + ROLLBACK_SLACK < record.sent_at and at >= self.added_at[record.kind] for end, at in known):
                 self.problems.append(f"settings went back: {record.request_id} ({record.kind}, {record.daemon})")
 
-    def was_disturbed_at(self, moment):
+    def was_disturbed_at(self, moment, times=None):
         """Whether a fault that may excuse a broken bound was there at this time, or ended shortly before."""
-        return any(start - 0.5 <= moment <= end + CONTACT for start, end in self.disturbed)
+        return any(start - 0.5 <= moment <= end + CONTACT for start, end in times or self.disturbed)
 
     def was_disturbed(self, late_run):
         return self.was_disturbed_at(self.journal.records[late_run[0]].sent_at)
@@ -479,7 +483,7 @@
 def shrink(seed, options):
     """Leaves out events one by one as long as the seed still fails."""
     generator = random.Random(seed)
-    kept = set(range(len([Event(generator, options.seconds) for _ in range(generator.randrange(4, 14))])))
+    kept = set(range(len([Event(generator, options.seconds) for _ in range(generator.randrange(*EVENTS))])))
     for index in sorted(kept):
         options.only = kept - {index}
         if not play(seed, options):
--- a/Meta/Cluster/soak_peers.py
+++ b/Meta/Cluster/soak_peers.py
@@ -44,7 +44,7 @@
 
 
 class SoakTarget:
-    """A target that records what it runs. `fault` changes how it answers."""
+    """A target that records what it runs. `faults` are the kinds of damage that its answers get in turn, at random."""
 
     FAULTS = ("slow", "mute", "reset", "truncate", "copy", "late-copy", "foreign", "shed", "endless", "garbage", "drip")
 
@@ -52,7 +52,7 @@
         self.name = name
         self.journal = journal
         self.generator = generator
-        self.fault = None
+        self.faults = ()
         self.left_at = None
         self.running = 0
         self.slots = 2
@@ -89,7 +89,7 @@
         method, path, _ = first.split()
         request_id = fields.get("x-comfreysail-request-id", "")
         if path == "/health":
-            if self.fault == "mute":
+            if "mute" in self.faults:
                 await asyncio.sleep(5)
                 return False
             identity = f"X-Comfreysail-Instance-Id: {self.name}\r\n"
@@ -98,7 +98,7 @@
             return True
         expected = fields.get("x-comfreysail-expect-instance", self.name)
         refusal = "421 Misdirected Request" if expected != self.name else None
-        if self.fault == "shed" or self.running >= self.slots + 4:
+        if ("shed" in self.faults and self.generator.random() < 0.5) or self.running >= self.slots + 4:
             refusal = refusal or "503 Service Unavailable"
         if refusal:
             writer.write(
@@ -109,7 +109,7 @@
         self.journal.note_run(request_id, self, path)
         self.running += 1
         try:
-            await asyncio.sleep(self.generator.uniform(*WORK) * (8 if self.fault == "slow" else 1))
+            await asyncio.sleep(self.generator.uniform(*WORK) * (8 if "slow" in self.faults else 1))
         finally:
             self.running -= 1
         return await self.respond(writer, request_id, body)
@@ -119,7 +119,7 @@
         signature = f"X-Comfreysail-Backend-Signature: s.{request_id}\r\n"
         head = f"HTTP/1.1 200 OK\r\n{self.fields(request_id)}{signature}Content-Length: {len(content)}\r\n\r\n".encode()
         whole = head + content
-        fault = self.fault if self.generator.random() < 0.6 else None
+        fault = self.generator.choice(self.faults) if self.faults and self.generator.random() < 0.6 else None
         if fault == "mute":
             await asyncio.sleep(5)
             return False
