Meta: End the soak on SIGTERM also when it was started in the background

Cause: a shell starts background commands with SIGINT ignored, and SIGTERM was passed on as SIGINT. Two runs did not stop when they were told to; they were ended by id.

--- a/Meta/Cluster/soak.py
+++ b/Meta/Cluster/soak.py
@@ -504,7 +504,9 @@
     parser.add_argument("--shrink", action="store_true", help="looks for a smaller schedule that still fails")
     options = parser.parse_args()
     seed = options.seed if options.seed is not None else random.SystemRandom().randrange(1 << 31)
-    # SIGTERM ends the run as Ctrl-C does, so that all processes are stopped.
+    # SIGTERM ends the run as Ctrl-C does, so that all processes are stopped. A shell that starts the soak in the background
+    # makes it ignore SIGINT.
+    signal.signal(signal.SIGINT, signal.default_int_handler)
     signal.signal(signal.SIGTERM, lambda *_: signal.raise_signal(signal.SIGINT))
     if options.shrink:
         shrink(seed, options)
