--- a/Meta/Cluster/soak.py
+++ b/Meta/Cluster/soak.py
@@ -20,6 +20,7 @@
 GRACE = 6.0
 CONTACT = 4.0
 RECOVER = 15.0
+CALM = 2.0
 MAX_RESIDENT_KB = 80 * 1024
 MAX_DESCRIPTORS = 400
 
@@ -167,6 +168,7 @@
         self.withdrawn_at = None
         self.targets_started = 0
         self.disturbed = []  # Times of faults of the store or of targets: (start, end).
+        self.store_disturbed = []
         self.paused = []  # Times of pauses of daemons. They excuse slow responses, but nothing done with old knowledge.
         self.problems = []
 
@@ -242,6 +244,8 @@
         await getattr(self, "play_" + event.kind.replace("-", "_"))(event)
         if event.kind.startswith(("target", "store")):
             self.disturbed.append((started, time.monotonic()))
+        if event.kind.startswith("store") or event.kind == "target-lapses":
+            self.store_disturbed.append((started, time.monotonic()))
 
     async def play_term(self, event):
         daemon = self.pick(self.daemons, event)
@@ -361,6 +365,8 @@
                 self.tasks.append(asyncio.create_task(caller.run()))
             await asyncio.gather(*(self.play(event) for event in self.events))
             await self.recover()
+            # Without excuses: the bounds count from here on, whatever happened before.
+            await asyncio.sleep(CONTACT + CALM)
             for caller in self.callers:
                 caller.is_stopping = True
             await asyncio.sleep(4)
@@ -403,7 +409,7 @@
         found = self.problems
         records = self.journal.records.values()
         found += [f"run of an unknown request: {run}" for run in self.journal.unknown_runs]
-        found += [f"a target that had left ran {run}" for run in self.journal.late_runs if not self.was_disturbed(run)]
+        found += [f"a target that had left ran {run}" for run in self.journal.late_runs if not self.was_store_disturbed(run)]
         for record in records:
             name = f"{record.request_id} ({record.kind}, {record.daemon}, {record.result})"
             is_once = ROUTES.get(record.kind) in ("unsafe", "upload")
@@ -417,15 +423,15 @@
                 found.append(f"answered without a run: {name}")
             if record.result == "timeout" and not self.was_disturbed_at(record.sent_at, self.disturbed + self.paused):
                 found.append(f"no response in time: {name}")
-            if record.result == "no response" and record.runs and not record.was_killed and not self.was_disturbed_at(record.sent_at, self.disturbed + self.paused):
+            if record.result == "no response" and record.runs and not record.was_killed:
                 found.append(f"cut although its daemon was not killed: {name}")
             if self.withdrawn_at and record.kind == "trial" and record.result == 200:
                 late = record.sent_at - self.withdrawn_at
-                if late > CONFIG_APPLY and not self.was_disturbed_at(record.sent_at):
+                if late > CONFIG_APPLY and not self.was_disturbed_at(record.sent_at, self.store_disturbed):
                     found.append(f"served by a route withdrawn {late:.2f} s before: {name}")
             if record.kind in self.added_at and record.result == 404:
                 late = record.sent_at - self.added_at[record.kind]
-                if late > CONFIG_APPLY and not self.was_disturbed_at(record.sent_at):
+                if late > CONFIG_APPLY and not self.was_disturbed_at(record.sent_at, self.store_disturbed):
                     found.append(f"refused on a route added {late:.2f} s before: {name}")
         self.check_settings_never_go_back()
 
@@ -445,10 +451,11 @@
 
     def was_disturbed_at(self, moment, times=None):
         """Whether a fault that may excuse a broken bound was there at this time, or ended shortly before."""
-        return any(start - 0.5 <= moment <= end + CONTACT for start, end in times or self.disturbed)
+        times = self.disturbed if times is None else times
+        return any(start - 0.5 <= moment <= end + CONTACT for start, end in times)
 
-    def was_disturbed(self, late_run):
-        return self.was_disturbed_at(self.journal.records[late_run[0]].sent_at)
+    def was_store_disturbed(self, late_run):
+        return self.was_disturbed_at(self.journal.records[late_run[0]].sent_at, self.store_disturbed)
 
     def summary(self):
         counts = {}
--- a/Meta/Cluster/soak_peers.py
+++ b/Meta/Cluster/soak_peers.py
@@ -232,7 +232,9 @@
         self.is_stopping = False
 
     def choose(self):
-        ready = [daemon for daemon in self.soak.daemons if daemon.is_ready]
+        # Some callers do not look at who is ready, so that a daemon that stops has requests until it accepts no more.
+        looks = self.generator.random() < 0.75
+        ready = [daemon for daemon in self.soak.daemons if daemon.is_ready and looks]
         return self.generator.choice(ready or self.soak.daemons)
 
     async def run(self):
