--- a/Meta/Cluster/soak.py
+++ b/Meta/Cluster/soak.py
@@ -130,7 +130,7 @@
     """A fault of the schedule. `time` counts from the start of the load."""
 
     KINDS = {
-        "term": 3, "kill": 2, "kill-all": 1, "pause": 3, "target-fault": 8, "target-crash": 2, "target-leaves": 2,
+        "term": 3, "roll": 2, "kill": 2, "kill-all": 1, "pause": 3, "target-fault": 8, "target-crash": 2, "target-leaves": 2,
         "target-lapses": 1, "store-mode": 3, "store-link": 3, "settings": 3, "withdraw": 2,
     }
 
@@ -248,7 +248,14 @@
             self.store_disturbed.append((started, time.monotonic()))
 
     async def play_term(self, event):
-        daemon = self.pick(self.daemons, event)
+        await self.stop_and_restart(self.pick(self.daemons, event), event)
+
+    async def play_roll(self, event):
+        """Stops all daemons one after the other, as a roll-out does."""
+        for daemon in self.daemons:
+            await self.stop_and_restart(daemon, event)
+
+    async def stop_and_restart(self, daemon, event):
         daemon.send(signal.SIGTERM)
         if event.draw < 0.3:
             await asyncio.sleep(0.3)
