LibStore: Take only the response to a call, and bound what is not parsed

Cause: responses of the store have no id. (1) An interim response was returned as the response, and the final one was read as that to the next call on the connection. (2) A page with rows of another table was accepted; taken for the registry, it would have removed all targets. (3) Beast looks through a chunk extension or trailer again with each read, and the buffer had no limit: with a trailer without end a call of 0.9 s took 3.2 s of processor time, in which the daemon's one thread serves nothing. Ruled out: the other seven kinds of responses without end (heads, lines, interim responses, chunks, bodies) end in time.

--- a/Libraries/LibStore/HttpCaller.cpp
+++ b/Libraries/LibStore/HttpCaller.cpp
@@ -19,6 +19,10 @@
 namespace {
 
 constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
+// Limits what the parser has not consumed, such as a chunk extension or a trailer without end. The parser looks through
+// all of it again with each read.
+constexpr size_t maxUnparsedBytes = size_t { 64 } * 1024;
+constexpr unsigned firstFinalStatus = 200;
 
 Core::Error failure(bool isUnknown, std::string const& detail)
 {
@@ -35,7 +39,7 @@
     }
 
     beast::tcp_stream stream;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer { maxUnparsedBytes };
     Core::Instant idleSince;
 
     /// True if the other side closed the connection or sent unexpected bytes while it was idle.
@@ -128,6 +132,11 @@
     if (readCode)
         co_return failure(request.isWrite, "no answer from " + m_options.subject + ": " + readCode.message());
     auto response = parser.release();
+    // Responses have no id, so the final response after an interim one would be taken for that to the next call.
+    if (response.result_int() < firstFinalStatus) {
+        connection.stream.close();
+        co_return failure(request.isWrite, "interim response from " + m_options.subject);
+    }
     if (!response.keep_alive() || connection.buffer.size() != 0)
         connection.stream.close();
     else
--- /dev/null
+++ b/Tests/Platform/TestStoreResponses.cpp
@@ -0,0 +1,123 @@
+#include <Support/RawConnection.h>
+#include <Support/ScriptedTarget.h>
+#include <atomic>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/use_future.hpp>
+#include <catch2/catch.hpp>
+#include <fstream>
+#include <platform/Platform.h>
+
+using namespace Comfreysail;
+using Tests::RawConnection;
+using Tests::ScriptedTarget;
+using Tests::wholeResponse;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto callTimeout = 900ms;
+
+std::string page(std::string const& table, std::string const& rows)
+{
+    auto const row
+        = R"({"table":")" + table + R"(","part":"","key":")" + rows + R"(","value":"","resource-version":3})";
+    return R"({"rows":[)" + (rows.empty() ? std::string() : row)
+        + R"(],"has-more":false,"resource-version":7,"now-s":1})";
+}
+
+Core::Result<Platform::RowPage> readTable(
+    boost::asio::io_context& context, Platform::StoreClient& client, std::string const& table)
+{
+    Platform::RowRange range { table, {}, {}, {}, 0 };
+    auto result = boost::asio::co_spawn(
+        context, client.readRows(std::move(range), Core::monotonicNow() + callTimeout), boost::asio::use_future);
+    context.restart();
+    context.run();
+    return result.get();
+}
+
+size_t residentKilobytes()
+{
+    std::ifstream status("/proc/self/status");
+    std::string line;
+    while (std::getline(status, line)) {
+        if (line.starts_with("VmRSS:"))
+            return std::stoul(line.substr(6));
+    }
+    return 0;
+}
+
+}
+
+// A store in trouble may send bytes that never end. The call must end in its time, with an error and bounded memory.
+TEST_CASE("StoreClient_ResponseWithoutEnd_IsAnErrorInTime")
+{
+    struct Endless {
+        std::string start;
+        std::string repeated;
+    };
+    auto const& [start, repeated] = GENERATE(values<Endless>({
+        { "HTTP/1.1 200 OK\r\n", "X-A: b\r\n" },
+        { "HTTP/1.1 200 OK\r\nX-A: ", "a" },
+        { "", "HTTP/1.1 100 Continue\r\n\r\n" },
+        { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", "a" },
+        { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nxxxx\r\n" },
+        { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX-A: ", "a" },
+        { "HTTP/1.1 200 OK\r\n\r\n", "a" },
+        { "HTTP/1.1 200 OK\r\nContent-Length: 9000000000\r\n\r\n", "a" },
+    }));
+    CAPTURE(start, repeated);
+    ScriptedTarget const store([start = start, repeated = repeated](RawConnection& connection, std::string const&) {
+        std::string block;
+        while (block.size() < 64'000)
+            block += repeated;
+        bool isOpen = connection.send(start);
+        while (isOpen)
+            isOpen = connection.send(block);
+        return false;
+    });
+    boost::asio::io_context context;
+    Platform::StoreClient client(context.get_executor(), "127.0.0.1", store.port());
+    auto const before = residentKilobytes();
+    auto const startedAt = std::chrono::steady_clock::now();
+    CHECK(Core::isError(readTable(context, client, "servers")));
+    CHECK(std::chrono::steady_clock::now() - startedAt < callTimeout + 500ms);
+    // The largest response of the store is 16 MiB, and a growing buffer is twice as large.
+    CHECK(residentKilobytes() < before + size_t { 3 } * 16 * 1024);
+}
+
+// Responses of the store have no id. After an interim response, the final one was taken for that to the next call.
+TEST_CASE("StoreClient_InterimResponse_FinalOneIsNotTheAnswerToTheNextCall")
+{
+    std::atomic<unsigned> calls { 0 };
+    ScriptedTarget const store([&calls](RawConnection& connection, std::string const& head) {
+        bool const isFirst = ++calls == 1;
+        auto const table = head.find("table=op") != std::string::npos ? "op" : "servers";
+        if (isFirst) {
+            connection.send("HTTP/1.1 103 Early Hints\r\n\r\n");
+            std::this_thread::sleep_for(100ms);
+        }
+        return connection.send(wholeResponse(page(table, table)));
+    });
+    boost::asio::io_context context;
+    Platform::StoreClient client(context.get_executor(), "127.0.0.1", store.port());
+    auto const first = readTable(context, client, "op");
+    if (!Core::isError(first))
+        CHECK(Core::valueOf(first).rows.front().key == "op");
+    auto const second = readTable(context, client, "servers");
+    REQUIRE_FALSE(Core::isError(second));
+    CHECK(Core::valueOf(second).rows.front().key == "servers");
+}
+
+// A page with rows of another table answers another call. Taken for the registry, it would remove all targets.
+TEST_CASE("StoreClient_PageOfAnotherTable_IsAnError")
+{
+    ScriptedTarget const store([](RawConnection& connection, std::string const&) {
+        return connection.send(wholeResponse(page("op", "config")));
+    });
+    boost::asio::io_context context;
+    Platform::StoreClient client(context.get_executor(), "127.0.0.1", store.port());
+    CHECK_FALSE(Core::isError(readTable(context, client, "op")));
+    CHECK(Core::isError(readTable(context, client, "servers")));
+}
