--- a/Tests/LibTraffic/TestOverload.cpp
+++ b/Tests/LibTraffic/TestOverload.cpp
@@ -1,6 +1,7 @@
 #include <LibTraffic/Traffic.h>
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <functional>
 #include <list>
 #include <queue>
 #include <random>
