Meta: Do not register a target again that another event took away

By its schedule target-lapses took t2's registration away at 5.1 s (3.56 + 1.52) and registered it as ready again 0.5 s later, while target-leaves had made it leave at about 4.05 s: the soak itself brought it back, and the daemons rightly used it.

--- a/Meta/Cluster/soak.py
+++ b/Meta/Cluster/soak.py
@@ -329,7 +329,9 @@
         await self.write_rows(deletes=[("servers", target.name, {})])
         self.system.platform_fault("up")
         await asyncio.sleep(0.5)
-        await self.register(target)
+        # Another event may have taken it away meanwhile.
+        if target in self.targets:
+            await self.register(target)
 
     async def play_store_mode(self, event):
         mode = ("down", "hang", "slow", "lose_answers", "late", "busy", "too_many")[int(event.draw * 7)]
