--- a/Meta/Cluster/soak.py
+++ b/Meta/Cluster/soak.py
@@ -515,10 +515,12 @@
     parser.add_argument("--seconds", type=float, default=10, help="time in which the faults of a seed begin")
     parser.add_argument("--daemons", type=int, default=4)
     parser.add_argument("--targets", type=int, default=6)
-    parser.add_argument("--callers", type=int, default=16)
+    parser.add_argument("--callers", type=int, help="by default so few that the targets can serve all of them")
     parser.add_argument("--only", type=lambda text: {int(part) for part in text.split(",")}, help="numbers of the events to play")
     parser.add_argument("--shrink", action="store_true", help="looks for a smaller schedule that still fails")
     options = parser.parse_args()
+    if options.callers is None:
+        options.callers = 16 if options.targets >= 6 else options.targets + 1
     seed = options.seed if options.seed is not None else random.SystemRandom().randrange(1 << 31)
     # SIGTERM ends the run as Ctrl-C does, so that all processes are stopped. A shell that starts the soak in the background
     # makes it ignore SIGINT.
