Tests: Choose different ports for the listeners of a daemon

Nothing of the daemon is involved. Change: all ports are taken before one is closed. No check changes.

--- a/Tests/Support/DaemonProcess.cpp
+++ b/Tests/Support/DaemonProcess.cpp
@@ -1,5 +1,6 @@
 #include "DaemonProcess.h"
 
+#include <algorithm>
 #include <array>
 #include <csignal>
 #include <cstdlib>
@@ -49,29 +50,41 @@
     return text + "]\n" + options.treeAdditions;
 }
 
-/// Returns a port that is currently unused. Peer and control ports must be fixed in advance because the settings cannot
-/// leave their choice to the system.
-uint16_t freePort()
+/// Returns different ports that are currently unused. Peer and control ports must be fixed in advance because the
+/// settings cannot leave their choice to the system. All are taken before one is closed, since the system may return a
+/// closed one again.
+template<size_t count> std::array<uint16_t, count> freePorts()
 {
-    auto const listener = listenOnFreePort();
-    ::close(listener.descriptor);
-    return listener.port;
+    std::array<Listener, count> listeners;
+    std::ranges::generate(listeners, listenOnFreePort);
+    std::array<uint16_t, count> ports {};
+    std::ranges::transform(listeners, ports.begin(), &Listener::port);
+    for (auto const& listener : listeners)
+        ::close(listener.descriptor);
+    return ports;
 }
 
-std::string settingsText(DaemonOptions const& options, uint16_t callerPort, uint16_t adminPort, uint16_t controlPort)
+struct ListenerPorts {
+    uint16_t caller { 0 };
+    uint16_t admin { 0 };
+    uint16_t peer { 0 };
+    uint16_t control { 0 };
+};
+
+std::string settingsText(DaemonOptions const& options, ListenerPorts const& ports)
 {
     std::string text = "vm_name = \"" + options.vmName + "\"\navailability_zone = \"" + options.availabilityZone
         + "\"\n"
         + (options.platformPort ? "placement = \"ask_targets\"\ngrace_seconds = \"6\"\n"
                                 : "settings_file = \"tree.toml\"\n")
         + "balancer_lag_ms = " + std::to_string(options.balancerLagMilliseconds) + "\n" + options.settings + "\n";
-    std::vector<std::pair<std::string, uint16_t>> listeners { { "caller", callerPort }, { "admin", adminPort } };
+    std::vector<std::pair<std::string, uint16_t>> listeners { { "caller", ports.caller }, { "admin", ports.admin } };
     if (options.platformPort)
         listeners.emplace_back("platform", *options.platformPort);
     else
-        listeners.emplace_back("peer", freePort());
+        listeners.emplace_back("peer", ports.peer);
     // The seeds are appended below and must end up in the [control] table, so it comes last.
-    listeners.emplace_back("control", controlPort);
+    listeners.emplace_back("control", ports.control);
     for (auto const& [listener, port] : listeners)
         text += "[" + listener + "]\naddress = \"127.0.0.1\"\nport = " + std::to_string(port) + "\n";
     text += "seeds = [";
@@ -149,13 +162,15 @@
 
 void DaemonProcess::start(DaemonOptions const& options)
 {
-    m_controlPort = freePort();
+    auto const [peerPort, controlPort, callerPort, adminPort] = freePorts<4>();
+    m_controlPort = controlPort;
     // The ports cannot be read from the log in this case, so they are chosen in advance.
     if (options.logsIntoFullPipe) {
-        m_callerPort = freePort();
-        m_adminPort = freePort();
+        m_callerPort = callerPort;
+        m_adminPort = adminPort;
     }
-    std::ofstream(m_folder / "daemon.toml") << settingsText(options, m_callerPort, m_adminPort, m_controlPort);
+    std::ofstream(m_folder / "daemon.toml")
+        << settingsText(options, { m_callerPort, m_adminPort, peerPort, m_controlPort });
     int writingEnd = -1;
     if (options.logsIntoFullPipe) {
         auto const ends = makeFullPipe();
