comfreysaild: Wait for fresh rows after a pause before a route is looked up

After a pause requests wait for rows that were read since, but only when a target is chosen; the route came from the settings of before. A daemon stopped for 3 s served 8 of 8 requests on a route that had been withdrawn, and answered 404 to 8 of 8 on one that had been added. Ruled out: targets and evacuated zones (their cases passed before). Change: the wait comes first of all in a request too.

--- a/Services/comfreysaild/EntryHandler.cpp
+++ b/Services/comfreysaild/EntryHandler.cpp
@@ -99,6 +99,9 @@
     auto& exchange = request.exchange;
     auto const& head = exchange.head();
     request.requestId = std::string(head.fields.find(Platform::headerNames().requestId).value_or(""));
+    // Routes may have been withdrawn or added while the process was paused.
+    m_state.pauses.noteTick(Core::suspendAwareNow());
+    co_await m_selector.waitForFreshRows(request);
     request.plan = m_state.plan;
     if (!request.plan || !m_state.hasReadTargets)
         co_return Error { ErrorKind::SettingsUnavailable, {} };
--- a/Services/comfreysaild/TargetSelector.h
+++ b/Services/comfreysaild/TargetSelector.h
@@ -14,9 +14,10 @@
     /// Errors: NoTargetAvailable, or the reason of the request's stop signal.
     HTTP::awaitable<Core::Result<Traffic::RegisteredTarget>> select(EntryRequest&);
 
-private:
     /// After a pause of the process, waits until the rows are fresh again or the request ends.
     HTTP::awaitable<void> waitForFreshRows(EntryRequest&);
+
+private:
     /// Probes targets in rounds until one is good enough, and returns the best one.
     HTTP::awaitable<Core::Result<Traffic::RegisteredTarget>> probeAndChoose(
         EntryRequest&, std::string const& healthPath, Traffic::PlacementRequest const&);
