LibTraffic: Ask three other daemons on the level of the parent before the readers

Cause: with the parent and one alternative unreachable a daemon turned to the readers. Change: three alternatives, which differ among the followers of one parent. A draw that cuts off nearly a whole level cannot be spread.

--- a/Libraries/LibTraffic/RelayTree.cpp
+++ b/Libraries/LibTraffic/RelayTree.cpp
@@ -66,7 +66,12 @@
         }
         auto const present = std::min(size, members.size() - first);
         add(parent);
-        add(first + (parent - first + 1 + (position - options.readers) % options.fanOut) % present);
+        // The followers of one parent turn to different alternatives.
+        for (size_t alternative = 0; alternative < options.alternativeParents; ++alternative) {
+            auto const step
+                = 1 + (position - options.readers) % options.fanOut + alternative * (options.fanOut / 2 + 1);
+            add(first + (parent - first + step) % present);
+        }
     }
     // The readers come next. Daemons start with different readers to spread the load.
     for (size_t reader = 0; reader < options.readers; ++reader)
--- a/Libraries/LibTraffic/RelayTree.h
+++ b/Libraries/LibTraffic/RelayTree.h
@@ -16,6 +16,9 @@
     size_t standbyReaders { 2 };
     /// Number of daemons that ask the same source.
     size_t fanOut { 8 };
+    /// Number of daemons on the level of its parent that a daemon asks when the parent does not answer. With one, the
+    /// readers had to answer a ninth of all daemons when a third was unreachable.
+    size_t alternativeParents { 3 };
     /// How long a daemon that did not answer is not asked. The time doubles with each failure.
     Core::Duration initialBackoff { std::chrono::seconds(1) };
     Core::Duration maxBackoff { std::chrono::seconds(30) };
