--- a/Libraries/LibTraffic/Placement.cpp
+++ b/Libraries/LibTraffic/Placement.cpp
@@ -28,16 +28,16 @@
     return record.load->running + record.load->waiting + record.sentSinceLoad;
 }
 
-double costOfZone(DirectoryEntry const& record, PlacementRequest const& request, PlacementOptions const& options)
+bool isInOwnZone(DirectoryEntry const& record, PlacementRequest const& request)
 {
-    if (record.target.availabilityZone == request.ownZone)
-        return 0;
-    return request.isDownload ? options.crossZoneDownloadCost : options.crossZoneCost;
+    return record.target.availabilityZone == request.ownZone;
 }
 
-bool isInOwnZone(DirectoryEntry const& record, PlacementRequest const& request)
+double zoneCost(DirectoryEntry const& record, PlacementRequest const& request, PlacementOptions const& options)
 {
-    return record.target.availabilityZone == request.ownZone;
+    if (isInOwnZone(record, request))
+        return 0;
+    return request.isDownload ? options.crossZoneDownloadCost : options.crossZoneCost;
 }
 
 bool endsLate(TargetChoice const& choice, PlacementRequest const& request, PlacementOptions const& options)
@@ -46,9 +46,10 @@
         return true;
     if (!request.maxCostInTime)
         return false;
+    // A price for traffic between availability zones is not part of the expected time.
+    auto const costOfTime = choice.cost - zoneCost(*choice.target, request, options);
     // Even a good target may exceed a short latency target. Refusing the request would not help the next one then.
-    auto const cost = choice.cost - costOfZone(*choice.target, request, options);
-    return cost > std::max(*request.maxCostInTime, options.goodEnoughCost);
+    return costOfTime > std::max(*request.maxCostInTime, options.goodEnoughCost);
 }
 
 }
@@ -80,7 +81,7 @@
         if (cost > request.maxCostWithWaiting.value_or(0))
             return std::nullopt;
     }
-    return cost + costOfZone(record, request, options);
+    return cost + zoneCost(record, request, options);
 }
 
 std::vector<DirectoryEntry const*> targetsToProbe(std::vector<DirectoryEntry const*> const& eligible,
