Tests: Bound the memory of endless requests by the limit for bodies, and add a copy during an upload

The growth of 4,000 kB was chosen without a stated target. The operators' limit for a body is 1 MB, which is there twice while the buffer grows: 1,953 kB, stricter than before. The uploads share one script. New: a copy of an earlier response that arrives while a large body is being sent.

--- a/Tests/comfreysaild/TestEntryEndlessRequests.cpp
+++ b/Tests/comfreysaild/TestEntryEndlessRequests.cpp
@@ -39,7 +39,8 @@
 // A caller that never ends its request must not take memory or time from others, and nothing of it may run.
 TEST_CASE_METHOD(EntryFixture, "Entry_RequestWithoutEnd_IsEndedWithFlatMemoryAndOthersAreServed")
 {
-    constexpr size_t maxGrowthKilobytes = 4'000;
+    // The operators' limit for a body is 1 MB; while the buffer grows, the body is there twice.
+    constexpr size_t maxGrowthKilobytes = size_t { 2 } * 1'000'000 / 1024;
     auto const& target = addTarget("t1", [](RawConnection& connection, std::string const& head) {
         return connection.send(signedResponse(head, "whole"));
     });
--- a/Tests/comfreysaild/TestEntryLateResponses.cpp
+++ b/Tests/comfreysaild/TestEntryLateResponses.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <map>
 #include <mutex>
+#include <thread>
 
 using namespace Comfreysail::Tests;
 using namespace std::chrono_literals;
@@ -150,3 +151,28 @@
         CHECK(response.body == requestIdOf(response.head));
     }
 }
+
+// The copy may arrive while a large body is still being sent. The upload gets its own response, runs once, and no byte
+// of its body is taken for another request.
+TEST_CASE_METHOD(EntryFixture, "Entry_LateCopyWhileALargeBodyIsSent_UploadGetsItsOwnResponse")
+{
+    constexpr size_t bodyBytes = 900'000;
+    std::string earlier;
+    auto const& target = addTarget("t1", [&earlier](RawConnection& connection, std::string const& head) {
+        if (head.starts_with("GET")) {
+            earlier = signedResponse(head, "earlier");
+            return connection.send(earlier);
+        }
+        connection.send(earlier);
+        std::this_thread::sleep_for(50ms);
+        connection.readExactly(bodyBytes);
+        connection.send(signedResponse(head, "whole"));
+        return false;
+    });
+    StopAtScopeEnd const stop(*this);
+    startDaemon();
+    CHECK(call("GET", "/read/1").body == "earlier");
+    CHECK(call("POST", "/pay/1", std::string(bodyBytes, 'x')).body == "whole");
+    CHECK(target.runs == 2);
+    CHECK(call("GET", "/read/1").body == "earlier");
+}
--- a/Tests/comfreysaild/TestEntryUploads.cpp
+++ b/Tests/comfreysaild/TestEntryUploads.cpp
@@ -19,16 +19,18 @@
         + "\r\nContent-Length: " + std::to_string(length) + "\r\n\r\n";
 }
 
+bool respondWhole(RawConnection& connection, std::string const& head)
+{
+    return connection.send(signedResponse(head, "whole"));
+}
+
 }
 
 // Uploads at the same time exceeded the memory of a small VM, which ends the daemon and all requests in it. An upload
 // without memory is not read until an earlier one has ended, and short requests do not wait for it.
 TEST_CASE_METHOD(EntryFixture, "Entry_UploadsBeyondTheMemoryForBodies_WaitAndAreServed")
 {
-    auto& target = addTarget("t1", [](RawConnection& connection, std::string const& head) {
-        connection.send(signedResponse(head, "whole"));
-        return true;
-    });
+    auto& target = addTarget("t1", respondWhole);
     StopAtScopeEnd const stop(*this);
     auto& daemon = startDaemon({ .settings = smallMemory });
     auto const before = daemon.residentKilobytes();
@@ -52,10 +54,7 @@
 // An upload that gets no memory is refused while its caller still has time to come back, and it has not run.
 TEST_CASE_METHOD(EntryFixture, "Entry_UploadWithoutMemoryForItsBody_IsRefusedInTimeAsNotRun")
 {
-    auto& target = addTarget("t1", [](RawConnection& connection, std::string const& head) {
-        connection.send(signedResponse(head, "whole"));
-        return true;
-    });
+    auto& target = addTarget("t1", respondWhole);
     StopAtScopeEnd const stop(*this);
     auto& daemon = startDaemon({ .settings = smallMemory });
     auto first = daemon.connect();
@@ -80,10 +79,7 @@
 // A body of unknown length that grows beyond the memory is refused as not run, and leaves the memory to others.
 TEST_CASE_METHOD(EntryFixture, "Entry_ChunkedUploadBeyondTheMemory_IsRefusedAsNotRun")
 {
-    auto& target = addTarget("t1", [](RawConnection& connection, std::string const& head) {
-        connection.send(signedResponse(head, "whole"));
-        return true;
-    });
+    auto& target = addTarget("t1", respondWhole);
     StopAtScopeEnd const stop(*this);
     auto& daemon = startDaemon({ .settings = smallMemory });
     auto first = daemon.connect();
