Meta: Take the memory limit of the soak from stated limits

It was 80 MB without a reason. Control may take 32 MB of a VM, and bodies a quarter of memory_mb: 48 MB, stricter than before. The limit of 400 descriptors is a tenth of what a VM allows.

--- a/Meta/Cluster/soak.py
+++ b/Meta/Cluster/soak.py
@@ -21,7 +21,10 @@
 CONTACT = 4.0
 RECOVER = 15.0
 CALM = 2.0
-MAX_RESIDENT_KB = 80 * 1024
+# What control may take on a VM (32 MB), and the quarter of the daemons' memory_mb that bodies may take.
+MEMORY_MB = 64
+MAX_RESIDENT_KB = (32 + MEMORY_MB // 4) * 1024
+# A tenth of what a VM allows (4,100).
 MAX_DESCRIPTORS = 400
 
 ROLLBACK_SLACK = 0.25
@@ -92,7 +95,7 @@
         self.misses = 0
         settings = os.path.join(folder, f"{name}.toml")
         lines = [f'vm_name = "{name}"', 'availability_zone = "pos-hall"', 'placement = "ask_targets"']
-        lines += [f'grace_seconds = "{GRACE}"', 'memory_mb = "64"', "balancer_lag_ms = 600"]
+        lines += [f'grace_seconds = "{GRACE}"', f'memory_mb = "{MEMORY_MB}"', "balancer_lag_ms = 600"]
         for section, port in (("caller", ports[0]), ("admin", ports[1]), ("platform", link.port), ("control", ports[2])):
             lines += [f"[{section}]", 'address = "127.0.0.1"', f"port = {port}"]
         lines += ["seeds = [" + ", ".join(f'"127.0.0.1:{port}"' for port in seeds) + "]"]
