Tests: See the guards of stops, uploads and endless requests fail

With 13 guards broken one at a time, three cases of the new tests did not notice: a connection that is reused while it still sends (the target closed it, so the request went to a new one), a stop that does not wait for requests, or closes all connections, during pipelined lookups (they had ended before), and a body without a limit (memory was read after the request had ended). Change: that target keeps its connection and reads on, the stop comes while targets work, and memory is read while bytes arrive.

--- a/Tests/comfreysaild/TestEntryEndlessRequests.cpp
+++ b/Tests/comfreysaild/TestEntryEndlessRequests.cpp
@@ -1,5 +1,6 @@
 #include "EntryFixture.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 using namespace Comfreysail::Tests;
@@ -59,9 +60,13 @@
         bool isEnded = !endless.send(request.start);
         auto const start = std::chrono::steady_clock::now();
         // The header timeout of the settings is 3 s.
-        while (!isEnded && std::chrono::steady_clock::now() - start < 4s)
+        size_t most = before;
+        while (!isEnded && std::chrono::steady_clock::now() - start < 4s) {
             isEnded = !endless.send(block);
+            most = std::max(most, daemon.residentKilobytes());
+        }
         CHECK(isEnded);
+        CHECK(most < before + maxGrowthKilobytes);
         CHECK(target.runs == runsBefore);
         CHECK(daemon.residentKilobytes() < before + maxGrowthKilobytes);
         CHECK(call("GET", "/read/1").body == "whole");
--- a/Tests/comfreysaild/TestEntryStops.cpp
+++ b/Tests/comfreysaild/TestEntryStops.cpp
@@ -70,7 +70,8 @@
     addTarget("t1", respondSlowly);
     addTarget("t2", respondSlowly);
     StopAtScopeEnd const stop(*this);
-    auto& daemon = startDaemon({ .balancerLagMilliseconds = 200 });
+    // The daemon stops accepting while the targets still work on the lookups.
+    auto& daemon = startDaemon({ .balancerLagMilliseconds = 20 });
     auto caller = daemon.connect();
     for (auto const* id : { "p1", "p2", "p3", "p4" })
         REQUIRE(caller.send(requestText("GET", "/read/1", id)));
--- a/Tests/comfreysaild/TestEntryUploadFaults.cpp
+++ b/Tests/comfreysaild/TestEntryUploadFaults.cpp
@@ -62,9 +62,9 @@
         if (!head.starts_with("POST"))
             return connection.send(signedResponse(head, "read"));
         connection.send(signedResponse(head, "early", status));
-        // Reads nothing more for a while, as a target that keeps the connection and reads on later.
+        // Reads nothing more for a while. Then EntryTarget reads the rest of the body, and the next request.
         std::this_thread::sleep_for(300ms);
-        return false;
+        return true;
     });
     StopAtScopeEnd const stop(*this);
     auto& daemon = startDaemon();
