Tests: Check that no request is written into the body of an upload

Cause: with a connection reused while it still sends, callers notice nothing, since a probe or request that lands inside the body of an upload is sent again; only the target sees it. The test now reads what the target received.

--- a/Tests/comfreysaild/TestEntryUploadFaults.cpp
+++ b/Tests/comfreysaild/TestEntryUploadFaults.cpp
@@ -58,13 +58,15 @@
 {
     auto const status = GENERATE(as<std::string> {}, "200 OK", "413 Payload Too Large", "500 Internal Server Error");
     CAPTURE(status);
-    auto& target = addTarget("t1", [&status](RawConnection& connection, std::string const& head) {
+    std::string rest;
+    auto& target = addTarget("t1", [&](RawConnection& connection, std::string const& head) {
         if (!head.starts_with("POST"))
             return connection.send(signedResponse(head, "read"));
         connection.send(signedResponse(head, "early", status));
-        // Reads nothing more for a while. Then EntryTarget reads the rest of the body, and the next request.
+        // Reads nothing more for a while, and then the rest of the body.
         std::this_thread::sleep_for(300ms);
-        return true;
+        rest = connection.readExactly(uploadBytes);
+        return false;
     });
     StopAtScopeEnd const stop(*this);
     auto& daemon = startDaemon();
@@ -75,6 +77,8 @@
     CHECK(response.body == "early");
     CHECK(call("GET", "/read/1").body == "read");
     CHECK(target.runs == 2);
+    stopAll();
+    CHECK(rest.find_first_not_of('x') == std::string::npos);
 }
 
 // A target that ends its connection within the body, or after it, may have acted on what it read. The upload must not
