comfreysaild: Log how far a failed request for rows got

The line now has took_ms, responded and bytes. It is written by the relay, which knows them. No decision changes.

--- a/Services/comfreysaild/BufferedGet.cpp
+++ b/Services/comfreysaild/BufferedGet.cpp
@@ -12,27 +12,32 @@
 
 constexpr size_t readBufferSize = size_t { 4 } * 1024;
 
-awaitable<std::optional<BufferedResponse>> readResponse(HTTP::ClientConnection& connection, size_t maxBodyBytes)
+awaitable<BufferedExchange> readResponse(HTTP::ClientConnection& connection, size_t maxBodyBytes)
 {
+    BufferedExchange exchange;
     auto head = co_await connection.readHead("GET");
+    exchange.hasHead = !isError(head);
     if (isError(head) || valueOf(head).fields.contains(Platform::headerNames().requestId))
-        co_return std::nullopt;
+        co_return exchange;
     BufferedResponse response { takeValue(std::move(head)), {} };
     std::vector<char> buffer(readBufferSize);
     while (true) {
         auto const size = co_await connection.readBody(buffer);
         if (isError(size) || response.body.size() + valueOf(size) > maxBodyBytes)
-            co_return std::nullopt;
+            co_return exchange;
         if (valueOf(size) == 0)
-            co_return response;
+            break;
         response.body.append(buffer.data(), valueOf(size));
+        exchange.bodyBytes = response.body.size();
     }
+    exchange.response = std::move(response);
+    co_return exchange;
 }
 
 }
 
-awaitable<std::optional<BufferedResponse>> bufferedGet(HTTP::ConnectionPool& pool,
-    std::shared_ptr<HTTP::ClientConnection> connection, std::string target, size_t maxBodyBytes, Core::Instant deadline)
+awaitable<BufferedExchange> bufferedGet(HTTP::ConnectionPool& pool, std::shared_ptr<HTTP::ClientConnection> connection,
+    std::string target, size_t maxBodyBytes, Core::Instant deadline)
 {
     auto const executor = co_await HTTP::asio::this_coro::executor;
     auto const watchdog = HTTP::Watchdog::create(executor);
@@ -53,15 +58,15 @@
         head.fields.add("Host", endpoint.address + ":" + std::to_string(endpoint.port));
         result = co_await connection->send(head, std::make_shared<std::string>());
     }
-    std::optional<BufferedResponse> response;
+    BufferedExchange exchange;
     if (!isError(result))
-        response = co_await readResponse(*connection, maxBodyBytes);
+        exchange = co_await readResponse(*connection, maxBodyBytes);
     watchdog->disarm();
-    if (response)
+    if (exchange.response)
         pool.release(connection, Core::monotonicNow());
     else
         pool.discard(connection, hasTimedOut);
-    co_return response;
+    co_return exchange;
 }
 
 }
--- a/Services/comfreysaild/BufferedGet.h
+++ b/Services/comfreysaild/BufferedGet.h
@@ -11,11 +11,18 @@
     std::string body;
 };
 
-/// Sends a GET request and reads the whole response into memory. Connects first if the connection is new. Returns
-/// std::nullopt if there is no complete response by the deadline, if its body is larger than `maxBodyBytes`, or if it
+/// How far an exchange got.
+struct BufferedExchange {
+    bool hasHead { false };                   ///< The head of a response arrived.
+    size_t bodyBytes { 0 };                   ///< Bytes of its body that arrived.
+    std::optional<BufferedResponse> response; ///< Set if the response is valid and complete.
+};
+
+/// Sends a GET request and reads the whole response into memory. Connects first if the connection is new. There is no
+/// response in the result if none was complete by the deadline, if its body is larger than `maxBodyBytes`, or if it
 /// carries a request id: such a response is a late one to a request that used the connection before. The connection is
 /// returned to the pool or closed.
-HTTP::awaitable<std::optional<BufferedResponse>> bufferedGet(HTTP::ConnectionPool&,
-    std::shared_ptr<HTTP::ClientConnection>, std::string target, size_t maxBodyBytes, Core::Instant deadline);
+HTTP::awaitable<BufferedExchange> bufferedGet(HTTP::ConnectionPool&, std::shared_ptr<HTTP::ClientConnection>,
+    std::string target, size_t maxBodyBytes, Core::Instant deadline);
 
 }
--- a/Services/comfreysaild/Relay.cpp
+++ b/Services/comfreysaild/Relay.cpp
@@ -129,13 +129,24 @@
     if (!connection)
         connection = m_pool.create(endpoint);
     auto const startedAt = Core::suspendAwareNow();
-    auto const response
+    auto const exchange
         = co_await bufferedGet(m_pool, std::move(connection), std::move(target), maxRowsBytes, now + query.timeout);
+    auto const& response = exchange.response;
+    auto const took = Core::suspendAwareNow() - startedAt;
     // A response that arrived while the process was paused states the age that the rows had before.
-    if (Core::suspendAwareNow() - startedAt > query.timeout + maxTimerDelay)
-        co_return RelayResult::Failed;
-    auto const result
-        = response && response->head.status == 200 ? applyResponse(member, response->body) : RelayResult::Failed;
+    bool const wasPaused = took > query.timeout + maxTimerDelay;
+    auto const result = response && response->head.status == 200 && !wasPaused ? applyResponse(member, response->body)
+                                                                               : RelayResult::Failed;
+    if (result == RelayResult::Failed) {
+        Telemetry::EventLine("relay_failed")
+            .add("member", member)
+            .add("took_ms", std::chrono::duration_cast<std::chrono::milliseconds>(took).count())
+            .add("responded", exchange.hasHead)
+            .add("bytes", exchange.bodyBytes)
+            .logInfo();
+    }
+    if (wasPaused)
+        co_return result;
     m_evidenceSentTo = result == RelayResult::Failed ? std::string() : member;
     m_sentEvidenceVersion = evidenceVersion;
     co_return result;
--- a/Services/comfreysaild/StoreFollower.cpp
+++ b/Services/comfreysaild/StoreFollower.cpp
@@ -313,12 +313,10 @@
         adoptRows();
     if (result == RelayResult::Fresh)
         m_state.pauses.noteRefreshed(startedAt);
-    if (result == RelayResult::Failed) {
+    if (result == RelayResult::Failed)
         m_backoff.noteFailed(source.name, {}, Core::monotonicNow());
-        Telemetry::EventLine("relay_failed").add("member", source.name).logInfo();
-    } else {
+    else
         m_backoff.noteAnswered(source.name);
-    }
     co_return result;
 }
 
