comfreysaild: Finish transfers of rows that are arriving

Cause: a daemon gave another one, and the store, a fixed time for the whole response: 0.25 s beyond the wait, and 0.9 s. A source with a link of 10 Mbit/s that sends large settings to its eight followers needs longer. The followers closed the connections and asked other sources, and at last the store, for all of it again, which made the links still fuller. Class of fault: a deadline that does not depend on progress, with a retry that starts from the beginning.

Ruled out: late readers (the first adoption is 0.43 s after the write) and processor time (the failures take exactly the timeouts).

Change: the timeout is that of the head. A body that keeps arriving may take 1.5 s longer, with a limit of 0.5 s without progress, and the time of the transfer counts into the age of its rows. Large responses send their heads before any of their bodies, so that none of them looks unresponsive. The store's pages may take 1.5 s longer likewise. A daemon without rows does so only once the store has failed, since the store is usually faster then.

--- a/Libraries/LibHTTP/Watchdog.cpp
+++ b/Libraries/LibHTTP/Watchdog.cpp
@@ -22,6 +22,12 @@
         wait(deadline);
 }
 
+void Watchdog::extend(Core::Instant deadline)
+{
+    if (m_deadline)
+        m_deadline = deadline;
+}
+
 void Watchdog::disarm()
 {
     m_deadline.reset();
--- a/Libraries/LibHTTP/Watchdog.h
+++ b/Libraries/LibHTTP/Watchdog.h
@@ -17,6 +17,8 @@
 
     /// Replaces the deadline. `onExpiry` runs once, on the strand, and must not keep the watchdog's owner alive.
     void arm(Core::Instant deadline, std::function<void()> onExpiry);
+    /// Moves the deadline, unless it has expired. It must not become earlier.
+    void extend(Core::Instant deadline);
     void disarm();
 
 private:
--- a/Libraries/LibStore/HttpCaller.cpp
+++ b/Libraries/LibStore/HttpCaller.cpp
@@ -128,9 +128,15 @@
 
     http::response_parser<http::string_body> parser;
     parser.body_limit(m_options.maxAnswerBytes);
-    auto const [readCode, unused] = co_await http::async_read(connection.stream, connection.buffer, parser, useTuple);
+    auto const [headCode, headBytes]
+        = co_await http::async_read_header(connection.stream, connection.buffer, parser, useTuple);
+    if (headCode)
+        co_return failure(request.isWrite, "no answer from " + m_options.subject + ": " + headCode.message());
+    connection.stream.expires_at(request.deadline + request.transferTime);
+    auto const [readCode, bodyBytes]
+        = co_await http::async_read(connection.stream, connection.buffer, parser, useTuple);
     if (readCode)
-        co_return failure(request.isWrite, "no answer from " + m_options.subject + ": " + readCode.message());
+        co_return failure(request.isWrite, "incomplete answer from " + m_options.subject + ": " + readCode.message());
     auto response = parser.release();
     // Responses have no id, so the final response after an interim one would be taken for that to the next call.
     if (response.result_int() < firstFinalStatus) {
--- a/Libraries/LibStore/HttpCaller.h
+++ b/Libraries/LibStore/HttpCaller.h
@@ -24,7 +24,9 @@
         std::string target;
         std::string body;
         bool isWrite { false };
-        Core::Instant deadline;
+        Core::Instant deadline; ///< Of the head of the response.
+        /// After the deadline, a body that is arriving may take this much longer.
+        Core::Duration transferTime {};
     };
 
     struct Answer {
--- a/Services/comfreysaild/BufferedGet.cpp
+++ b/Services/comfreysaild/BufferedGet.cpp
@@ -1,5 +1,6 @@
 #include "BufferedGet.h"
 
+#include <algorithm>
 #include <boost/asio/this_coro.hpp>
 #include <platform/Platform.h>
 #include <vector>
@@ -11,19 +12,31 @@
 namespace {
 
 constexpr size_t readBufferSize = size_t { 4 } * 1024;
+// A transfer that makes no progress for this long has stalled. When a source with a link of 10 Mbit/s sends to eight
+// daemons at once, the packets of one of them are up to 0.4 s apart.
+constexpr Core::Duration maxStallTime = std::chrono::milliseconds(500);
 
-awaitable<BufferedExchange> readResponse(HTTP::ClientConnection& connection, size_t maxBodyBytes)
+Core::Instant bodyDeadline(BufferedGetLimits const& limits, Core::Instant now)
+{
+    return std::max(limits.deadline, std::min(now + maxStallTime, limits.deadline + limits.transferTime));
+}
+
+awaitable<BufferedExchange> readResponse(
+    HTTP::ClientConnection& connection, HTTP::Watchdog& watchdog, BufferedGetLimits const& limits)
 {
     BufferedExchange exchange;
     auto head = co_await connection.readHead("GET");
+    auto const headAt = Core::suspendAwareNow();
     exchange.hasHead = !isError(head);
     if (isError(head) || valueOf(head).fields.contains(Platform::headerNames().requestId))
         co_return exchange;
     BufferedResponse response { takeValue(std::move(head)), {} };
     std::vector<char> buffer(readBufferSize);
     while (true) {
+        watchdog.extend(bodyDeadline(limits, Core::monotonicNow()));
         auto const size = co_await connection.readBody(buffer);
-        if (isError(size) || response.body.size() + valueOf(size) > maxBodyBytes)
+        exchange.bodyTime = Core::suspendAwareNow() - headAt;
+        if (isError(size) || response.body.size() + valueOf(size) > limits.maxBodyBytes)
             co_return exchange;
         if (valueOf(size) == 0)
             break;
@@ -37,12 +50,12 @@
 }
 
 awaitable<BufferedExchange> bufferedGet(HTTP::ConnectionPool& pool, std::shared_ptr<HTTP::ClientConnection> connection,
-    std::string target, size_t maxBodyBytes, Core::Instant deadline)
+    std::string target, BufferedGetLimits limits)
 {
     auto const executor = co_await HTTP::asio::this_coro::executor;
     auto const watchdog = HTTP::Watchdog::create(executor);
     bool hasTimedOut = false;
-    watchdog->arm(deadline, [&hasTimedOut, &connection] {
+    watchdog->arm(limits.deadline, [&hasTimedOut, &connection] {
         hasTimedOut = true;
         connection->close();
     });
@@ -60,7 +73,7 @@
     }
     BufferedExchange exchange;
     if (!isError(result))
-        exchange = co_await readResponse(*connection, maxBodyBytes);
+        exchange = co_await readResponse(*connection, *watchdog, limits);
     watchdog->disarm();
     if (exchange.response)
         pool.release(connection, Core::monotonicNow());
--- a/Services/comfreysaild/BufferedGet.h
+++ b/Services/comfreysaild/BufferedGet.h
@@ -11,18 +11,26 @@
     std::string body;
 };
 
+struct BufferedGetLimits {
+    size_t maxBodyBytes { 0 };
+    Core::Instant deadline {}; ///< The head has to arrive before it.
+    /// A body that keeps arriving is read until this long after the deadline. Over a narrow link a large body takes
+    /// longer than an unresponsive daemon may be waited for, and asking another one would start from the beginning.
+    Core::Duration transferTime {};
+};
+
 /// How far an exchange got.
 struct BufferedExchange {
     bool hasHead { false };                   ///< The head of a response arrived.
     size_t bodyBytes { 0 };                   ///< Bytes of its body that arrived.
+    Core::Duration bodyTime {};               ///< Time from the head to the end, including suspensions of the VM.
     std::optional<BufferedResponse> response; ///< Set if the response is valid and complete.
 };
 
 /// Sends a GET request and reads the whole response into memory. Connects first if the connection is new. There is no
-/// response in the result if none was complete by the deadline, if its body is larger than `maxBodyBytes`, or if it
-/// carries a request id: such a response is a late one to a request that used the connection before. The connection is
-/// returned to the pool or closed.
-HTTP::awaitable<BufferedExchange> bufferedGet(HTTP::ConnectionPool&, std::shared_ptr<HTTP::ClientConnection>,
-    std::string target, size_t maxBodyBytes, Core::Instant deadline);
+/// response in the result if none was complete within the limits, or if it carries a request id: such a response is a
+/// late one to a request that used the connection before. The connection is returned to the pool or closed.
+HTTP::awaitable<BufferedExchange> bufferedGet(
+    HTTP::ConnectionPool&, std::shared_ptr<HTTP::ClientConnection>, std::string target, BufferedGetLimits);
 
 }
--- a/Services/comfreysaild/LoadProber.cpp
+++ b/Services/comfreysaild/LoadProber.cpp
@@ -127,7 +127,8 @@
     Traffic::RegisteredTarget const& target, std::string const& healthPath, Instant deadline)
 {
     auto const startedAt = Core::suspendAwareNow();
-    auto const exchange = co_await bufferedGet(m_pool, std::move(connection), healthPath, maxProbeBodyBytes, deadline);
+    BufferedGetLimits const limits { .maxBodyBytes = maxProbeBodyBytes, .deadline = deadline };
+    auto const exchange = co_await bufferedGet(m_pool, std::move(connection), healthPath, limits);
     auto const& response = exchange.response;
     // A load report that arrived while the process was paused is outdated.
     if (Core::suspendAwareNow() - startedAt > maxProbeAge)
--- a/Services/comfreysaild/Relay.cpp
+++ b/Services/comfreysaild/Relay.cpp
@@ -2,6 +2,8 @@
 
 #include "BufferedGet.h"
 #include <algorithm>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
 #include <boost/url/encode.hpp>
 #include <boost/url/parse.hpp>
@@ -26,6 +28,8 @@
 // Total size of the responses that are being built and sent. Each is in memory about three times meanwhile, and control
 // traffic may use 32 MB. Without a limit a daemon used 234 MB with 300 VMs and 3,000 targets, presumably for responses.
 constexpr size_t maxResponseBytesInFlight = size_t { 8 } << 20;
+// Responses of this size take so long on a link of 10 Mbit/s that those sent after them arrive noticeably later.
+constexpr size_t minLargeResponseBytes = size_t { 16 } * 1024;
 // Larger responses of other daemons are refused. A daemon has responses of half this size in flight at most.
 constexpr size_t maxRowsBytes = 2 * maxResponseBytesInFlight;
 // A greater age is invalid, and could overflow when it is converted to microseconds.
@@ -129,14 +133,15 @@
     if (!connection)
         connection = m_pool.create(endpoint);
     auto const startedAt = Core::suspendAwareNow();
-    auto const exchange
-        = co_await bufferedGet(m_pool, std::move(connection), std::move(target), maxRowsBytes, now + query.timeout);
+    BufferedGetLimits const limits { maxRowsBytes, now + query.timeout, query.transferTime };
+    auto const exchange = co_await bufferedGet(m_pool, std::move(connection), std::move(target), limits);
     auto const& response = exchange.response;
     auto const took = Core::suspendAwareNow() - startedAt;
     // A response that arrived while the process was paused states the age that the rows had before.
-    bool const wasPaused = took > query.timeout + maxTimerDelay;
-    auto const result = response && response->head.status == 200 && !wasPaused ? applyResponse(member, response->body)
-                                                                               : RelayResult::Failed;
+    bool const wasPaused = took - exchange.bodyTime > query.timeout + maxTimerDelay;
+    auto result = RelayResult::Failed;
+    if (response && response->head.status == 200 && !wasPaused)
+        result = applyResponse(member, response->body, exchange.bodyTime);
     if (result == RelayResult::Failed) {
         Telemetry::EventLine("relay_failed")
             .add("member", member)
@@ -152,7 +157,7 @@
     co_return result;
 }
 
-RelayResult Relay::applyResponse(std::string const& member, std::string const& body)
+RelayResult Relay::applyResponse(std::string const& member, std::string const& body, Core::Duration transferTime)
 {
     boost::system::error_code error;
     auto const parsed = boost::json::parse(body, error);
@@ -176,7 +181,7 @@
         Telemetry::EventLine("relay_answer_refused").add("member", member).logWarning();
         return RelayResult::Failed;
     }
-    auto const age = std::chrono::milliseconds(ageMilliseconds);
+    auto const age = std::chrono::milliseconds(ageMilliseconds) + transferTime;
     Traffic::SharedChanges changes;
     for (auto const& revision : revisions->get_object())
         changes.revisions[std::string(revision.key())] = unsignedOf(revisions->get_object(), revision.key());
@@ -306,8 +311,26 @@
     // Daemons of older builds do not ask for compressed rows.
     auto const text = responseText(changes, parameters["encoding"] == compressedField, known.empty());
     m_responseBytesInFlight += text.size();
-    co_await exchange.respond(std::move(head), text);
+    co_await sendRows(exchange, std::move(head), text);
     m_responseBytesInFlight -= text.size();
 }
 
+awaitable<void> Relay::sendRows(HTTP::ServerExchange& exchange, HTTP::ResponseHead head, std::string const& text)
+{
+    if (text.size() < minLargeResponseBytes) {
+        co_await exchange.respond(std::move(head), text);
+        co_return;
+    }
+    head.contentLength = text.size();
+    exchange.startResponse(std::move(head));
+    bool isSent = co_await exchange.flush();
+    // Lets the other responses that became ready at the same time send their heads too, before the bodies fill the
+    // link.
+    co_await asio::post(m_context, asio::use_awaitable);
+    if (isSent)
+        isSent = co_await exchange.sendBody(text);
+    if (isSent)
+        co_await exchange.finish();
+}
+
 }
--- a/Services/comfreysaild/Relay.h
+++ b/Services/comfreysaild/Relay.h
@@ -20,6 +20,8 @@
 struct RelayQuery {
     Core::Duration wait {};    ///< How long the other daemon may hold the response until there is a change (long poll).
     Core::Duration timeout {}; ///< After this time the other daemon counts as unresponsive.
+    /// After the timeout, a response that is arriving may take this much longer.
+    Core::Duration transferTime {};
 };
 
 /// Distributes the shared rows from daemon to daemon, in a tree whose roots read the store. Each daemon long-polls one
@@ -39,10 +41,12 @@
     void noteChange();
 
 private:
-    RelayResult applyResponse(std::string const& member, std::string const& body);
+    /// `transferTime` is how long the rows were on their way.
+    RelayResult applyResponse(std::string const& member, std::string const& body, Core::Duration transferTime);
     std::string evidenceText(std::string const& member, Core::Instant now);
     std::string responseText(Traffic::SharedChanges const&, bool isCompressionAccepted, bool isForNewDaemon);
     HTTP::awaitable<void> refuseBusy(HTTP::ServerExchange&);
+    HTTP::awaitable<void> sendRows(HTTP::ServerExchange&, HTTP::ResponseHead, std::string const& text);
     bool knowsVerdicts(std::string_view verdictText) const;
 
     boost::asio::io_context& m_context;
--- a/Services/comfreysaild/StoreFollower.cpp
+++ b/Services/comfreysaild/StoreFollower.cpp
@@ -42,11 +42,16 @@
 // The timeout of a long poll exceeds its wait by this margin. It is short enough to detect an unresponsive source and
 // poll another one within the 2 s in which changes have to be in force.
 constexpr auto responseMargin = 250ms;
-constexpr RelayQuery longPollQuery { .wait = 450ms, .timeout = 450ms + responseMargin };
+// A response that is arriving is read for longer, since a retry would not be faster. Its rows are older than
+// maxFreshAge then, so a newer response is requested next.
+constexpr auto maxTransferTime = 1500ms;
+constexpr RelayQuery longPollQuery {
+    .wait = 450ms, .timeout = 450ms + responseMargin, .transferTime = maxTransferTime
+};
 // Limits how often a source is polled whose rows are about to become stale.
 constexpr auto minWait = 150ms;
-constexpr RelayQuery immediateQuery { .wait = 0ms, .timeout = responseMargin };
-constexpr RelayQuery queryAtFirstStart { .wait = 0ms, .timeout = 1500ms };
+constexpr RelayQuery immediateQuery { .wait = 0ms, .timeout = responseMargin, .transferTime = maxTransferTime };
+constexpr RelayQuery queryAtFirstStart { .wait = 0ms, .timeout = 1500ms, .transferTime = maxTransferTime };
 // After a restart the daemon refuses requests until it has rows, so the timeout is short. A working seed inside the
 // region responds sooner.
 constexpr RelayQuery queryAtStart { .wait = 0ms, .timeout = 60ms };
@@ -284,8 +289,14 @@
 
 RelayQuery StoreFollower::queryFor(std::string const& member, bool mayWait) const
 {
-    if (!m_state.hasReadTargets)
-        return m_isFirstStart ? queryAtFirstStart : queryAtStart;
+    if (!m_state.hasReadTargets && m_isFirstStart)
+        return queryAtFirstStart;
+    if (!m_state.hasReadTargets) {
+        // The store has all rows too. Once it was tried and did not return them, a slow seed is the only source left.
+        auto query = queryAtStart;
+        query.transferTime = m_storeBackoff.count() > 0 ? Core::Duration(maxTransferTime) : Core::Duration {};
+        return query;
+    }
     // If a source was just unresponsive, time was lost already, so the next one must respond at once.
     if (!mayWait || m_backoff.hasFailed(member))
         return immediateQuery;
@@ -293,7 +304,7 @@
     auto const freshFor = maxFreshAge - (Core::monotonicNow() - m_state.rowsReadAt);
     if (freshFor > Core::Duration {}) {
         auto const wait = std::clamp(freshFor, Core::Duration(minWait), longPollQuery.wait);
-        return { .wait = wait, .timeout = wait + responseMargin };
+        return { .wait = wait, .timeout = wait + responseMargin, .transferTime = maxTransferTime };
     }
     // If the store does not respond either, waits for the source to get fresh rows.
     return m_storeBackoff.count() > 0 ? longPollQuery : immediateQuery;
--- a/Services/comfreysaild/StoreReader.cpp
+++ b/Services/comfreysaild/StoreReader.cpp
@@ -10,6 +10,9 @@
 
 // A change has to be in force everywhere within 2 s, so the result of a slower call would come too late.
 constexpr auto callTimeout = 900ms;
+// A page that is arriving is read for longer: with some thousand routes it takes about 1 s on a link of 10 Mbit/s, and
+// another call would not be faster.
+constexpr auto maxTransferTime = 1500ms;
 
 }
 
@@ -45,7 +48,7 @@
     while (true) {
         Platform::RowRange range { std::string(table), std::string(part), from, {}, 0 };
         auto const deadline = Core::monotonicNow() + callTimeout;
-        auto page = co_await m_client.readRows(std::move(range), deadline);
+        auto page = co_await m_client.readRows(std::move(range), deadline, maxTransferTime);
         if (isError(page)) {
             noteStoreCall(table, false, errorOf(page).detail);
             co_return std::nullopt;
--- a/Tests/Platform/TestStoreResponses.cpp
+++ b/Tests/Platform/TestStoreResponses.cpp
@@ -26,12 +26,12 @@
         + R"(],"has-more":false,"resource-version":7,"now-s":1})";
 }
 
-Core::Result<Platform::RowPage> readTable(
-    boost::asio::io_context& context, Platform::StoreClient& client, std::string const& table)
+Core::Result<Platform::RowPage> readTable(boost::asio::io_context& context, Platform::StoreClient& client,
+    std::string const& table, Core::Duration transferTime = {})
 {
     Platform::RowRange range { table, {}, {}, {}, 0 };
-    auto result = boost::asio::co_spawn(
-        context, client.readRows(std::move(range), Core::monotonicNow() + callTimeout), boost::asio::use_future);
+    auto result = boost::asio::co_spawn(context,
+        client.readRows(std::move(range), Core::monotonicNow() + callTimeout, transferTime), boost::asio::use_future);
     context.restart();
     context.run();
     return result.get();
@@ -121,3 +121,19 @@
     CHECK_FALSE(Core::isError(readTable(context, client, "op")));
     CHECK(Core::isError(readTable(context, client, "servers")));
 }
+
+// Guards against large settings that are never read over a narrow link, because each call for them ends too early.
+TEST_CASE("StoreClient_PageArrivesSlowly_IsReadWithinItsTransferTime")
+{
+    ScriptedTarget const store([](RawConnection& connection, std::string const&) {
+        auto const response = wholeResponse(page("t", "a"));
+        auto const body = response.size() - 20;
+        connection.send(response.substr(0, body));
+        std::this_thread::sleep_for(callTimeout + 200ms);
+        return connection.send(response.substr(body));
+    });
+    boost::asio::io_context context;
+    Platform::StoreClient client(context.get_executor(), "127.0.0.1", store.port());
+    CHECK(isError(readTable(context, client, "t")));
+    CHECK_FALSE(isError(readTable(context, client, "t", 1s)));
+}
--- a/Tests/comfreysaild/TestEntryState.cpp
+++ b/Tests/comfreysaild/TestEntryState.cpp
@@ -299,6 +299,62 @@
     CHECK(follower.log().find("routes=1703") != std::string::npos);
 }
 
+// Guards against settings that are late because a transfer over a narrow link is given up and started again elsewhere.
+TEST_CASE_METHOD(EntryFixture, "Entry_SourceSendsLargeSettingsSlowly_TheyAreInForceWithinTwoSeconds")
+{
+    addTarget("t1", respondComplete);
+    auto const& reader = startDaemon();
+    std::atomic<unsigned> transfers { 0 };
+    std::atomic<bool> hasEnded { false };
+    ScriptedTarget const narrowLink([&](RawConnection& connection, std::string const& head) {
+        if (hasEnded)
+            return false;
+        auto upstream = RawConnection::connectTo(reader.controlPort());
+        upstream.send(head);
+        auto const body = upstream.readResponse().body;
+        constexpr size_t largeBytes = 4000;
+        constexpr size_t pieces = 16;
+        if (body.size() < largeBytes)
+            return connection.send(wholeResponse(body));
+        ++transfers;
+        auto const response = wholeResponse(body);
+        bool isSent = true;
+        for (size_t piece = 0; piece < pieces && isSent; ++piece) {
+            auto const begin = response.size() * piece / pieces;
+            isSent = connection.send(response.substr(begin, response.size() * (piece + 1) / pieces - begin));
+            std::this_thread::sleep_for(50ms);
+        }
+        return isSent;
+    });
+    StopAtScopeEnd const stop(*this);
+    DaemonOptions options;
+    options.vmName = "entry-2";
+    options.platformPort = 9; // Nothing listens there.
+    options.seedPorts = { narrowLink.port() };
+    auto const isServed = [](DaemonProcess const& daemon) {
+        auto connection = daemon.connect();
+        connection.send(requestText("GET", "/added-last/1", "a1"));
+        return connection.readResponse().status() == 200;
+    };
+    auto& follower = startDaemon(options);
+    std::string routes;
+    for (unsigned number = 0; number < 1700; ++number)
+        routes += "," + routeText("r" + std::to_string(number), "/" + std::to_string(number * 7919) + "/", "safe");
+    writePlan(5, routes + "," + routeText("last", "/added-last/", "safe"));
+    CHECK(eventually([&] { return isServed(follower); }, 2s));
+    CHECK(transfers == 1);
+    // A daemon that starts has no rows yet and gets all of them.
+    options.vmName = "entry-3";
+    options.waitsUntilReady = false;
+    auto& started = startDaemon(options);
+    CHECK(eventually([&] { return isServed(started); }, 2s));
+    // The link must not connect to the reader any more once it is ended.
+    hasEnded = true;
+    follower.kill();
+    started.kill();
+    std::this_thread::sleep_for(100ms);
+}
+
 // The platform kills the process after the grace time. Guards against waiting that long for a request that takes
 // longer.
 TEST_CASE_METHOD(EntryFixture, "Entry_SigtermDuringARequestLongerThanTheGraceTime_ExitsWithinTheGraceTime")
