LibTraffic: Keep to the request limit that a target names

Cause: no code read the field Server-Limit. Placement goes by free slots, and a target in need has some.

Change: the limit is decoded in platform/ and believed for the target's id only, from a response to this daemon's own request or load probe. Each daemon takes an equal part of it, one request per interval with a random start; the divisor counts the daemons that may use the target and leaves headroom for those that coincide. A limited target is probed once a second, so that the end of the limit is noticed although nothing is sent, and keeps its place among the 24 targets of the daemon, so that others do not start to share it. A limit that is not named for 5 min counts no longer.

Ruled out: a larger part for each daemon, which exceeds the limits of targets that more daemons than average use; the test found it at 108 and 313 daemons.

Tests: TestTargetLimit.cpp, TestTargetSignals.cpp, Entry_TargetNamesALimit_GetsNoMoreUntilTheLimitEnds. With the limit ignored on purpose 1,308 checks of the first fail, and the target of the last gets 35 requests where 6 are allowed.

--- a/Libraries/LibTraffic/DirectoryEntry.h
+++ b/Libraries/LibTraffic/DirectoryEntry.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibTraffic/RegisteredTarget.h>
+#include <LibTraffic/TargetLimit.h>
 #include <LibTraffic/TargetLoad.h>
 #include <optional>
 
@@ -19,6 +20,7 @@
     bool hasLeft { false };       ///< Its address belongs to another target now, or it answered that it is draining.
     Core::Instant ejectedUntil {};
     unsigned failureStreak { 0 };
+    std::optional<TargetLimit> limit; ///< Of the rate of requests, as the target named it in its responses.
 
     bool operator==(DirectoryEntry const&) const = default;
 };
--- a/Libraries/LibTraffic/TargetDirectory.cpp
+++ b/Libraries/LibTraffic/TargetDirectory.cpp
@@ -132,14 +132,19 @@
     auto const ranked = m_rankedTargets.find(service);
     if (ranked == m_rankedTargets.end())
         return result;
+    size_t limited = 0;
     for (auto const& [rankAndId, record] : ranked->second) {
-        if (result.size() == m_options.maxTargetsPerDaemon)
+        if (result.size() + limited == m_options.maxTargetsPerDaemon)
             break;
         auto const& target = record->target;
         bool const isRegistered = !record->missingSince || now < m_incompleteUntil;
         if (isRegistered && target.state == RegistrationState::Ready && !record->hasLeft && now >= record->ejectedUntil
-            && (!version || target.version == *version) && !zonesOutOfService.contains(target.availabilityZone))
-            result.push_back(record);
+            && (!version || target.version == *version) && !zonesOutOfService.contains(target.availabilityZone)) {
+            if (isSendAllowed(record->limit, now))
+                result.push_back(record);
+            else
+                ++limited;
+        }
     }
     return result;
 }
@@ -217,6 +222,56 @@
     found->ejectedUntil = now + std::min(m_options.baseEjectionTime * (1U << doublings), m_options.maxEjectionTime);
 }
 
+double TargetDirectory::limitDivisorOf(DirectoryEntry const& record, size_t daemons) const
+{
+    auto const ranked = m_rankedTargets.find(record.target.service);
+    return limitDivisor(
+        daemons, ranked == m_rankedTargets.end() ? 0 : ranked->second.size(), m_options.maxTargetsPerDaemon);
+}
+
+void TargetDirectory::noteLimit(std::string_view id, std::optional<double> requestsPerSecond, bool isProbe,
+    Instant sentAt, size_t daemons, double phase, Instant now)
+{
+    auto* const found = record(id);
+    if (!found)
+        return;
+    if (requestsPerSecond)
+        found->limit
+            = withNamedLimit(found->limit, *requestsPerSecond, isProbe, limitDivisorOf(*found, daemons), phase, now);
+    else if (found->limit && isEndedBy(*found->limit, isProbe, sentAt))
+        found->limit.reset();
+}
+
+std::optional<std::string> TargetDirectory::takeDueLimitProbe(std::string_view service, Instant now)
+{
+    auto const ranked = m_rankedTargets.find(service);
+    if (ranked == m_rankedTargets.end())
+        return std::nullopt;
+    for (auto const& [rankAndId, entry] : ranked->second) {
+        if (!entry->limit || !isProbeDue(*entry->limit, now) || now < entry->ejectedUntil)
+            continue;
+        record(rankAndId.second)->limit->probedAt = now;
+        return entry->target.id;
+    }
+    return std::nullopt;
+}
+
+void TargetDirectory::noteChosen(std::string_view id, size_t daemons, Instant now)
+{
+    auto* const found = record(id);
+    if (found && found->limit)
+        found->limit = withSend(*found->limit, limitDivisorOf(*found, daemons), now);
+}
+
+size_t TargetDirectory::limitedTargets(std::string_view service, Instant now) const
+{
+    auto const ranked = m_rankedTargets.find(service);
+    if (ranked == m_rankedTargets.end())
+        return 0;
+    return static_cast<size_t>(std::ranges::count_if(
+        ranked->second, [now](auto const& item) { return !isSendAllowed(item.second->limit, now); }));
+}
+
 void TargetDirectory::noteLeaving(std::string_view id)
 {
     if (auto* const found = record(id))
--- a/Libraries/LibTraffic/TargetDirectory.h
+++ b/Libraries/LibTraffic/TargetDirectory.h
@@ -52,7 +52,9 @@
     /// service, and not ejected. `version`, if given, restricts them to one version. Cold targets are included.
     ///
     /// If there are too many for one daemon, returns the first ones in the order of a hash of daemon and target. They
-    /// stay the same as long as they are eligible, so connections to them are used often enough to stay open.
+    /// stay the same as long as they are eligible, so connections to them are used often enough to stay open. A target
+    /// whose limit allows no request now is not returned and takes the place of one, so that the number of daemons that
+    /// share its limit stays the same.
     std::vector<DirectoryEntry const*> eligible(std::string_view service, std::optional<std::string_view> version,
         std::set<std::string, std::less<>> const& zonesOutOfService, Core::Instant now) const;
 
@@ -68,6 +70,18 @@
     void noteCold(std::string_view id, Core::Duration coldLeft, Core::Instant now);
     void noteAnswered(std::string_view id);
     void noteFault(std::string_view id, TargetFault, Core::Instant now);
+    /// The target named a limit in a response, or named none (std::nullopt). `isProbe` tells the response to a load
+    /// probe, which was sent at `sentAt`, from that to a request. `daemons` is the number of running daemons, and
+    /// `phase` in [0, 1) is random.
+    void noteLimit(std::string_view id, std::optional<double> requestsPerSecond, bool isProbe, Core::Instant sentAt,
+        size_t daemons, double phase, Core::Instant now);
+    /// Returns the id of a target of the service that has to be probed because of its limit, if there is one, and
+    /// counts it as probed.
+    std::optional<std::string> takeDueLimitProbe(std::string_view service, Core::Instant now);
+    /// A request is going to be sent to the target.
+    void noteChosen(std::string_view id, size_t daemons, Core::Instant now);
+    /// Returns the number of targets of a service whose limit allows no request now.
+    size_t limitedTargets(std::string_view service, Core::Instant now) const;
     /// The target answered that it is draining.
     void noteLeaving(std::string_view id);
 
@@ -78,6 +92,7 @@
     using RankedTargets = std::map<std::pair<uint64_t, std::string_view>, DirectoryEntry const*>;
 
     DirectoryEntry* record(std::string_view id);
+    double limitDivisorOf(DirectoryEntry const&, size_t daemons) const;
     void update(RegisteredTarget const&, Core::Instant now);
     void index(DirectoryEntry const&);
     void removeFromIndex(DirectoryEntry const&);
--- /dev/null
+++ b/Libraries/LibTraffic/TargetSignals.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Comfreysail::Traffic {
+
+/// What a target says of itself in the head of a response.
+struct TargetSignals {
+    /// Requests per second that the target takes from all daemons together; absent if it names no limit.
+    std::optional<double> requestsPerSecond;
+    std::vector<std::string> invalidFields; ///< Names of the fields whose values were ignored.
+
+    bool operator==(TargetSignals const&) const = default;
+};
+
+}
--- a/Libraries/LibTraffic/Traffic.h
+++ b/Libraries/LibTraffic/Traffic.h
@@ -21,6 +21,8 @@
 #include <LibTraffic/SharedRetryBudget.h>
 #include <LibTraffic/SharedRows.h>
 #include <LibTraffic/TargetDirectory.h>
+#include <LibTraffic/TargetLimit.h>
 #include <LibTraffic/TargetLoad.h>
+#include <LibTraffic/TargetSignals.h>
 #include <LibTraffic/TrafficPlan.h>
 #include <LibTraffic/VersionMove.h>
--- a/Services/comfreysaild/EntryState.cpp
+++ b/Services/comfreysaild/EntryState.cpp
@@ -13,6 +13,29 @@
     known = std::max(known, orderedAt);
 }
 
+void noteSignals(EntryState& state, std::string const& target, Traffic::TargetSignals const& signals, bool isProbe,
+    Core::Instant sentAt, Core::Instant now)
+{
+    for (auto const& field : signals.invalidFields)
+        Telemetry::EventLine("target_signal_ignored").add("target", target).add("field", field).logWarning();
+    auto const* const record = state.directory.find(target);
+    if (!record)
+        return;
+    auto const limitOf = [&] { return record->limit ? record->limit->requestsPerSecond : -1; };
+    auto const before = limitOf();
+    thread_local std::mt19937 generator { std::random_device {}() };
+    auto const phase = std::uniform_real_distribution<double>(0, 1)(generator);
+    state.directory.noteLimit(target, signals.requestsPerSecond, isProbe, sentAt,
+        state.sharedRows.table(Platform::Table::members).size(), phase, now);
+    if (limitOf() != before)
+        Telemetry::EventLine("target_limit")
+            .add("target", target)
+            .add("requests_per_second", limitOf())
+            .add("before", before)
+            .add("probe", isProbe)
+            .logInfo();
+}
+
 void endMove(std::string const& service, MoveInProgress& progress, MoveState state)
 {
     progress.state = state;
--- a/Services/comfreysaild/EntryState.h
+++ b/Services/comfreysaild/EntryState.h
@@ -68,6 +68,10 @@
 /// Sets the final state of a move. After RolledBack the new version gets no more requests.
 void endMove(std::string const& service, MoveInProgress&, Traffic::MoveState);
 
+/// Applies what a target said of itself in its response to a request, or to a load probe, that was sent at `sentAt`.
+void noteSignals(EntryState&, std::string const& target, Traffic::TargetSignals const&, bool isProbe,
+    Core::Instant sentAt, Core::Instant now);
+
 /// The version that a request has to use, or std::nullopt if it may use any. An empty string means that no version is
 /// allowed. `uniform` is a random number in [0, 1).
 std::optional<std::string> allowedVersion(
--- a/Services/comfreysaild/LoadProber.cpp
+++ b/Services/comfreysaild/LoadProber.cpp
@@ -127,6 +127,7 @@
     Traffic::RegisteredTarget const& target, std::string const& healthPath, Instant deadline)
 {
     auto const startedAt = Core::suspendAwareNow();
+    auto const sentAt = Core::monotonicNow();
     BufferedGetLimits const limits { .maxBodyBytes = maxProbeBodyBytes, .deadline = deadline };
     auto const exchange = co_await bufferedGet(m_pool, std::move(connection), healthPath, limits);
     auto const& response = exchange.response;
@@ -134,12 +135,12 @@
     if (Core::suspendAwareNow() - startedAt > maxProbeAge)
         co_return false;
     if (response)
-        noteAnswer(target, response->head);
+        noteAnswer(target, response->head, sentAt);
     m_state.metrics.counter("comfreysail_load_questions_total", { { "answered", response ? "true" : "false" } }).add();
     co_return response.has_value();
 }
 
-void LoadProber::noteAnswer(Traffic::RegisteredTarget const& target, HTTP::ResponseHead const& head)
+void LoadProber::noteAnswer(Traffic::RegisteredTarget const& target, HTTP::ResponseHead const& head, Instant sentAt)
 {
     auto const& names = Platform::headerNames();
     auto const now = Core::monotonicNow();
@@ -149,6 +150,8 @@
         directory.noteFault(target.id, Traffic::TargetFault::OtherTarget, now);
         return;
     }
+    if (respondingId)
+        noteSignals(m_state, target.id, Platform::decodeTargetSignals(head.fields), true, sentAt, now);
     if (head.status != statusOk) {
         directory.noteFault(target.id, Traffic::TargetFault::Unreachable, now);
         return;
--- a/Services/comfreysaild/LoadProber.h
+++ b/Services/comfreysaild/LoadProber.h
@@ -47,7 +47,7 @@
         std::string target, std::string healthPath, std::shared_ptr<Session::State>, unsigned round);
     HTTP::awaitable<bool> exchange(std::shared_ptr<HTTP::ClientConnection>, Traffic::RegisteredTarget const&,
         std::string const& healthPath, Core::Instant deadline);
-    void noteAnswer(Traffic::RegisteredTarget const&, HTTP::ResponseHead const&);
+    void noteAnswer(Traffic::RegisteredTarget const&, HTTP::ResponseHead const&, Core::Instant sentAt);
 
     boost::asio::io_context& m_context;
     HTTP::ConnectionPool& m_pool;
--- a/Services/comfreysaild/TargetExchange.cpp
+++ b/Services/comfreysaild/TargetExchange.cpp
@@ -139,13 +139,18 @@
             co_return ResponseVerdict::Invalid;
         }
         request.response = takeValue(std::move(head));
-        auto const verdict = Traffic::classifyResponse(factsOf(request, *request.response, isConnectionReused));
+        auto const facts = factsOf(request, *request.response, isConnectionReused);
+        auto const verdict = Traffic::classifyResponse(facts);
         auto const load = request.response->fields.find(Platform::headerNames().load);
         if (auto const parsed = Traffic::parseTargetLoad(load.value_or(""))) {
             m_state.directory.noteLoad(target.id, *parsed, Core::monotonicNow());
             // The target reports load after all: a single response without the field must not stop probing for good.
             m_state.servicesWithoutLoadReports.erase(target.service);
         }
+        // The response of another target, at an address that was given away, says nothing about this one.
+        if (facts.id == Traffic::ResponseId::OfThisRequest && verdict != ResponseVerdict::OtherTarget)
+            noteSignals(m_state, target.id, Platform::decodeTargetSignals(request.response->fields), false,
+                request.sentAt, Core::monotonicNow());
         bool const isComplete = co_await readBody(request, *connection);
         if (verdict == ResponseVerdict::Foreign && isComplete && !request.streamingConnection)
             continue;
--- a/Services/comfreysaild/TargetSelector.cpp
+++ b/Services/comfreysaild/TargetSelector.cpp
@@ -15,11 +15,11 @@
 
 namespace {
 
+// Assumed upper bound of daemons that run but are not in the member list yet, such as those of added VMs.
+constexpr unsigned maxDaemonsNotYetMembers = 4;
 // Timeout of one round of load probes. A probe takes one or two round trips inside a region.
 constexpr auto probeRoundTimeout = 40ms;
 constexpr auto freshRowsPollInterval = 10ms;
-// Assumed upper bound of daemons that run but are not in the member list yet, such as those of added VMs.
-constexpr unsigned maxDaemonsNotYetMembers = 4;
 
 void logChoice(EntryRequest const& request, Traffic::PlacementRequest const& placement,
     Traffic::TargetChoice const& choice, size_t probed)
@@ -42,7 +42,8 @@
 }
 
 /// Why no target was chosen. Becomes the detail of the error, which is logged and sent to the caller.
-std::string describeTargets(std::vector<Traffic::DirectoryEntry const*> const& eligible, size_t probed, Instant now)
+std::string describeTargets(
+    std::vector<Traffic::DirectoryEntry const*> const& eligible, size_t limited, size_t probed, Instant now)
 {
     size_t cold = 0;
     size_t full = 0;
@@ -51,7 +52,7 @@
         full += record->load && record->load->running + record->load->waiting >= record->load->slots ? 1 : 0;
     }
     return "asked " + std::to_string(probed) + " of " + std::to_string(eligible.size()) + ", cold "
-        + std::to_string(cold) + ", full " + std::to_string(full);
+        + std::to_string(cold) + ", full " + std::to_string(full) + ", limited " + std::to_string(limited);
 }
 
 }
@@ -80,8 +81,12 @@
         request.pausesAtSelection = m_state.pauses.noteTick(Core::suspendAwareNow());
         co_await waitForFreshRows(request);
         auto selected = co_await selectOnce(request);
-        if (request.stopSignal.reason() || !request.wasPausedSinceSelection(m_state))
+        if (request.stopSignal.reason() || !request.wasPausedSinceSelection(m_state)) {
+            // Without a suspension in between, so that no other request can be sent on the same part of a limit.
+            if (!isError(selected))
+                m_state.directory.noteChosen(valueOf(selected).id, memberCount(), Core::monotonicNow());
             co_return selected;
+        }
     }
 }
 
@@ -118,13 +123,12 @@
     if (!areAllCold)
         return std::nullopt;
     auto const service = request.plan->services.find(request.service);
-    auto const members = m_state.sharedRows.table(Platform::Table::members).size();
     for (auto const* record : eligible) {
         auto const& id = record->target.id;
         bool const wasTried = std::ranges::find(request.triedTargets, id) != request.triedTargets.end();
         if (!wasTried
             && m_state.coldSends.tryTake(id, service->second.coldRequestsPerSecond,
-                static_cast<unsigned>(members) + maxDaemonsNotYetMembers,
+                static_cast<unsigned>(memberCount()) + maxDaemonsNotYetMembers,
                 std::uniform_real_distribution<double>(0, 1)(m_generator), now))
             return record->target;
     }
@@ -173,6 +177,9 @@
         std::vector<std::string> ids;
         for (auto const* record : toProbe)
             ids.push_back(record->target.id);
+        auto const limited = m_state.directory.takeDueLimitProbe(request.service, Core::monotonicNow());
+        if (limited && std::ranges::find(ids, *limited) == ids.end())
+            ids.push_back(*limited);
         if (!ids.empty()) {
             probed.insert(probed.end(), ids.begin(), ids.end());
             co_await m_prober.probe(session, ids, healthPath, probeRoundTimeout);
@@ -198,9 +205,13 @@
         co_return choice->target->target;
     }
     co_return Error { ErrorKind::NoTargetAvailable,
-        describeTargets(eligibleNow(), probed.size(), Core::monotonicNow()) + (placement.isLate ? ", late" : "") };
+        describeTargets(eligibleNow(), m_state.directory.limitedTargets(request.service, Core::monotonicNow()),
+            probed.size(), Core::monotonicNow())
+            + (placement.isLate ? ", late" : "") };
 }
 
+size_t TargetSelector::memberCount() const { return m_state.sharedRows.table(Platform::Table::members).size(); }
+
 std::vector<Traffic::DirectoryEntry const*> TargetSelector::eligibleTargets(EntryRequest const& request) const
 {
     auto const now = Core::monotonicNow();
--- a/Services/comfreysaild/TargetSelector.h
+++ b/Services/comfreysaild/TargetSelector.h
@@ -23,6 +23,7 @@
         EntryRequest&, std::string const& healthPath, Traffic::PlacementRequest const&);
     HTTP::awaitable<Core::Result<Traffic::RegisteredTarget>> selectOnce(EntryRequest&);
     Traffic::PlacementRequest placementOf(EntryRequest const&);
+    size_t memberCount() const;
     std::vector<Traffic::DirectoryEntry const*> eligibleTargets(EntryRequest const&) const;
     /// If all eligible targets are cold, returns one whose rate limit for cold targets allows another request.
     std::optional<Traffic::RegisteredTarget> coldTarget(EntryRequest const&);
