--- a/Tests/Platform/TestDecode.cpp
+++ b/Tests/Platform/TestDecode.cpp
@@ -93,7 +93,10 @@
         { R"("state":"ready",)", "" },
         { R"("addr":"10.0.0.9:8080")", R"("addr":"10.0.0.9")" },
         { R"("addr":"10.0.0.9:8080")", R"("addr":"10.0.0.9:99999")" },
+        { R"("addr":"10.0.0.9:8080")", R"("addr":"no-address:8080")" },
         { R"("slots":2)", R"("slots":"2")" },
+        { R"("slots":2)", R"("slots":4294967296)" },
+        { R"("born":1700000000123)", R"("born":1e300)" },
         { R"("zone":"z1")", R"("zone":null)" },
         { R"("born":1700000000123)", R"("born":"x")" },
         { "{", "\xff" },
@@ -102,6 +105,14 @@
     CHECK(isError(decodeTarget(row("i-1", replaced(target, part, with)))));
 }
 
+// Guards against an id that splits the request: it is sent in a header field.
+TEST_CASE_METHOD(DecodeFixture, "DecodeTarget_IdThatFitsNoHeaderField_IsRefused")
+{
+    auto const id = GENERATE(values<std::string>({ "", "i\r\nX: 1", "i 1", "i\t1", "i\x7f", "\xc3\xa4" }));
+    CAPTURE(id);
+    CHECK(isError(decodeTarget(row(id, target))));
+}
+
 TEST_CASE_METHOD(DecodeFixture, "MoveResult_EncodedAndDecoded_IsTheSame")
 {
     auto const state
--- a/Tests/comfreysaild/EntryFixture.h
+++ b/Tests/comfreysaild/EntryFixture.h
@@ -35,6 +35,8 @@
     /// Overwrites the registry entry of a target, with another state or version.
     void registerTarget(EntryTarget const&, std::string const& state, std::string const& version = "v1");
     void removeTarget(std::string const& id);
+    /// Writes a row with any value into the registry of targets.
+    void writeRegistryRow(std::string const& key, std::string const& value) { writeRow("servers", key, value); }
     void writePlan(int version, std::string const& additionalRoutes = {});
     /// Adds a row to the member list. `text` is the daemon's endpoint and its share of a processor core.
     void writeMember(std::string const& name, std::string const& text);
--- a/Tests/comfreysaild/TestEntryState.cpp
+++ b/Tests/comfreysaild/TestEntryState.cpp
@@ -299,6 +299,53 @@
     CHECK(follower.log().find("routes=1703") != std::string::npos);
 }
 
+// Guards against daemons that end, or stop following the registry, because of one odd entry of another writer.
+TEST_CASE_METHOD(EntryFixture, "Entry_OddEntriesInTheRegistry_TheOthersAreFollowed")
+{
+    auto const entry = [](std::string const& field, std::string const& value) {
+        std::string text
+            = R"({"service":"orders","addr":"127.0.0.1:9","zone":"z","version":"v1","slots":2,"state":"ready","cold-left-s":0,"sequence":1,"born":1})";
+        auto const begin = text.find("\"" + field + "\":") + field.size() + 3;
+        return text.replace(begin, text.find_first_of(",}", begin) - begin, value);
+    };
+    std::vector<std::string> values { "", "null", "[]", "{", "\xff\xfe", std::string(30'000, '['),
+        std::string(10'000, '[') + std::string(10'000, ']') };
+    std::string nested;
+    for (int depth = 0; depth < 5000; ++depth)
+        nested += R"({"a":)";
+    values.push_back(nested + "1" + std::string(5000, '}'));
+    values.push_back(entry("slots", nested + "1" + std::string(5000, '}')));
+    for (auto const* field : { "slots", "cold-left-s", "sequence", "born" }) {
+        for (auto const* number : { "1e400", "-1e400", "1e308", "99999999999999999999999", "4294967296",
+                 "9223372036854775807", "-9223372036854775808", "0.5", "-1", "true", "\"2\"" })
+            values.push_back(entry(field, number));
+    }
+    for (auto const* address : { "127.0.0.1:65536", "127.0.0.1:0", "127.0.0.1:-1", "127.0.0.1:99999999999", "127.0.0.1",
+             ":80", "", "no-address:80", "[::1", "127.0.0.1:8o" })
+        values.push_back(entry("addr", "\"" + std::string(address) + "\""));
+    addTarget("t1", respondComplete);
+    auto& first = startDaemon();
+    DaemonOptions options;
+    options.vmName = "entry-2";
+    options.platformPort = 9; // Nothing listens there.
+    options.seedPorts = { first.controlPort() };
+    auto& second = startDaemon(options);
+    for (size_t index = 0; index < values.size(); ++index)
+        writeRegistryRow("odd-" + std::to_string(index), values[index]);
+    writeRegistryRow("odd\r\nX-Smuggled: 1\r\n", entry("slots", "2"));
+    writeRegistryRow(std::string(200, 'k'), entry("zone", "[[]]"));
+    auto& added = addTarget("t2", respondComplete);
+    for (auto* const daemon : { &first, &second }) {
+        auto const before = added.runs.load();
+        CHECK(eventually([&] {
+            auto connection = daemon->connect();
+            connection.send(requestText("GET", "/read/1", "a1"));
+            return connection.readResponse().status() == 200 && added.runs > before;
+        }));
+        CHECK(daemon->admin("/ready").status() == 200);
+    }
+}
+
 // Guards against settings that are late because a transfer over a narrow link is given up and started again elsewhere.
 TEST_CASE_METHOD(EntryFixture, "Entry_SourceSendsLargeSettingsSlowly_TheyAreInForceWithinTwoSeconds")
 {
