Tests: Break off the head of a response with an orderly close

It cannot happen here: a head counts once its empty line has arrived (Response_BrokenOffAtAnyByte_IsNotComplete, each byte), and now the whole daemon is tried with lookups and orders.

--- a/Tests/comfreysaild/TestEntryTargetSignals.cpp
+++ b/Tests/comfreysaild/TestEntryTargetSignals.cpp
@@ -40,3 +40,22 @@
         return limited.runs >= 20;
     }));
 }
+
+// Guards against a response whose head breaks off, with an orderly close, and which reaches the caller as complete.
+TEST_CASE_METHOD(EntryFixture, "Entry_ResponseHeadBreaksOff_IsNotShownAsComplete")
+{
+    auto const isOrder = GENERATE(false, true);
+    size_t sent = 0;
+    addTarget("t1", [&sent](RawConnection& connection, std::string const& head) {
+        auto const response = signedResponse(head, "whole");
+        connection.send(response.substr(0, std::min(sent, response.find("\r\n\r\n") + 3)));
+        return false;
+    });
+    StopAtScopeEnd const stop(*this);
+    startDaemon();
+    for (sent = 0; sent < 160; sent += 9) {
+        CAPTURE(isOrder, sent);
+        auto const response = isOrder ? call("POST", "/pay/1", "order") : call("GET", "/read/1");
+        CHECK((response.status() == 502 || response.status() == 503));
+    }
+}
