comfreysaild: Bound the time for which a target stays cold by its own word

A load probe's response may state any number of milliseconds. A huge one overflowed in the conversion to microseconds, which is undefined and could end the time in the past. It counts as an hour now.

--- a/Services/comfreysaild/LoadProber.cpp
+++ b/Services/comfreysaild/LoadProber.cpp
@@ -1,6 +1,7 @@
 #include "LoadProber.h"
 
 #include "BufferedGet.h"
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <charconv>
@@ -20,6 +21,8 @@
 // load.
 constexpr auto maxProbeAge = 2 * probeTimeout;
 constexpr unsigned statusOk = 200;
+// A target that states a longer time as a cold target is asked again after this one.
+constexpr int64_t maxColdMilliseconds = int64_t { 3600 } * 1000;
 // Only the head of the response to a probe counts. A target in trouble may send a body without end.
 constexpr size_t maxProbeBodyBytes = size_t { 16 } * 1024;
 
@@ -157,7 +160,8 @@
         return;
     }
     if (auto const cold = parseInteger(head.fields.find(names.coldMilliseconds)))
-        directory.noteCold(target.id, std::chrono::milliseconds(*cold), now);
+        directory.noteCold(
+            target.id, std::chrono::milliseconds(std::clamp<int64_t>(*cold, 0, maxColdMilliseconds)), now);
     auto const load = Traffic::parseTargetLoad(head.fields.find(names.load).value_or(""));
     if (load) {
         directory.noteLoad(target.id, *load, now);
