LibTraffic: Send nothing more to a target that says that it leaves

Change: Server-Leaving is decoded in platform/ and believed for the id and start time of the target, from a response to this daemon's own request or load probe; what a response to another request says does not count. It holds until the target restarts, also if its registration lapses and returns while the daemon cannot read the store. Requests that it already runs end normally. Other daemons are not told: each hears it itself, and the registry tells all of them.

--- a/Libraries/LibTraffic/TargetDirectory.cpp
+++ b/Libraries/LibTraffic/TargetDirectory.cpp
@@ -12,6 +12,8 @@
 
 // With this many doublings any sensible options have reached the maximum time.
 constexpr unsigned maxDoublings = 10;
+// Leaving targets that are remembered. Beyond it those without a registration are forgotten; ids are rarely used again.
+constexpr size_t maxLeaving = 4096;
 
 }
 
@@ -67,6 +69,9 @@
     if (target.coldLeft.count() > 0 && (isNew || hasRestarted || record.target.coldLeft != target.coldLeft))
         record.coldUntil = std::max(record.coldUntil, now + target.coldLeft);
     record.target = target;
+    auto const leaving = m_leaving.find(target.id);
+    if (leaving != m_leaving.end() && leaving->second == target.startedAt)
+        record.hasLeft = true;
     record.missingSince.reset();
     m_missing.erase(target.id);
     index(record);
@@ -274,8 +279,13 @@
 
 void TargetDirectory::noteLeaving(std::string_view id)
 {
-    if (auto* const found = record(id))
-        found->hasLeft = true;
+    auto* const found = record(id);
+    if (!found)
+        return;
+    found->hasLeft = true;
+    if (m_leaving.size() >= maxLeaving)
+        std::erase_if(m_leaving, [this](auto const& item) { return !m_records.contains(item.first); });
+    m_leaving.insert_or_assign(std::string(id), found->target.startedAt);
 }
 
 }
--- a/Libraries/LibTraffic/TargetDirectory.h
+++ b/Libraries/LibTraffic/TargetDirectory.h
@@ -82,7 +82,8 @@
     void noteChosen(std::string_view id, size_t daemons, Core::Instant now);
     /// Returns the number of targets of a service whose limit allows no request now.
     size_t limitedTargets(std::string_view service, Core::Instant now) const;
-    /// The target answered that it is draining.
+    /// The target said that it is leaving. It stays out of use until it restarts, even if its registration disappears
+    /// and returns or still calls it ready.
     void noteLeaving(std::string_view id);
 
     size_t size() const { return m_records.size(); }
@@ -107,6 +108,8 @@
     /// Number of ready targets, by service and version.
     std::map<std::string, std::map<std::string, unsigned, std::less<>>, std::less<>> m_readyTargets;
     std::set<std::string, std::less<>> m_missing; ///< Targets that are missing from the registry.
+    /// Start times of the targets that said that they leave, by id, which outlast their registrations.
+    std::map<std::string, int64_t, std::less<>> m_leaving;
     std::optional<Core::Instant> m_lastReadAt;
     Core::Instant m_incompleteUntil {};
 };
--- a/Libraries/LibTraffic/TargetSignals.h
+++ b/Libraries/LibTraffic/TargetSignals.h
@@ -8,6 +8,7 @@
 
 /// What a target says of itself in the head of a response.
 struct TargetSignals {
+    bool isLeaving { false }; ///< It is going to end and must get no further requests.
     /// Requests per second that the target takes from all daemons together; absent if it names no limit.
     std::optional<double> requestsPerSecond;
     std::vector<std::string> invalidFields; ///< Names of the fields whose values were ignored.
--- a/Services/comfreysaild/EntryState.cpp
+++ b/Services/comfreysaild/EntryState.cpp
@@ -21,6 +21,10 @@
     auto const* const record = state.directory.find(target);
     if (!record)
         return;
+    if (signals.isLeaving && !record->hasLeft) {
+        state.directory.noteLeaving(target);
+        Telemetry::EventLine("target_leaving").add("target", target).add("probe", isProbe).logInfo();
+    }
     auto const limitOf = [&] { return record->limit ? record->limit->requestsPerSecond : -1; };
     auto const before = limitOf();
     thread_local std::mt19937 generator { std::random_device {}() };
--- a/Tests/LibTraffic/TestTargetDirectory.cpp
+++ b/Tests/LibTraffic/TestTargetDirectory.cpp
@@ -208,3 +208,23 @@
     directory.applyChanges({ target("b") }, {}, at(3s));
     CHECK(eligible(3s) == Ids { "a", "b" });
 }
+
+// Guards against requests to a target that said that it leaves, because its registration lapsed and returned, was read
+// late, or still calls it ready.
+TEST_CASE_METHOD(DirectoryFixture, "TargetDirectory_TargetSaidThatItLeaves_IsUsedOnlyAfterARestart")
+{
+    directory.replaceAll({ target("a"), target("b") }, at(0s));
+    directory.noteLeaving("a");
+    CHECK(eligible(0s) == Ids { "b" });
+    directory.replaceAll({ target("a"), target("b") }, at(1s));
+    CHECK(eligible(1s) == Ids { "b" });
+    directory.replaceAll({ target("b") }, at(2s));
+    CHECK(directory.find("a") == nullptr);
+    directory.replaceAll({ target("a"), target("b") }, at(3s));
+    CHECK(eligible(3s) == Ids { "b" });
+    directory.applyChanges({ target("a", 2) }, {}, at(4s));
+    CHECK(eligible(4s) == Ids { "a", "b" });
+    // Another target at the same address is another target.
+    directory.applyChanges({ target("c") }, {}, at(5s));
+    CHECK(eligible(5s) == Ids { "a", "b", "c" });
+}
--- a/Tests/Platform/TestTargetSignals.cpp
+++ b/Tests/Platform/TestTargetSignals.cpp
@@ -33,3 +33,16 @@
         == 3);
     CHECK(signalsOf({}) == Traffic::TargetSignals {});
 }
+
+TEST_CASE("TargetSignals_EachFormOfLeaving_HasItsStatedMeaning")
+{
+    CHECK(signalsOf({ { "Server-Leaving", "1" } }).isLeaving);
+    CHECK(signalsOf({ { "Server-Leaving", "0" }, { "Server-Leaving", "1" } }).isLeaving);
+    CHECK(signalsOf({ { "Server-Leaving", "0" } }) == Traffic::TargetSignals {});
+    for (auto const* value : { "", "yes", "1.0", "-1", "11", "true" }) {
+        CAPTURE(value);
+        auto const signals = signalsOf({ { "Server-Leaving", value } });
+        CHECK_FALSE(signals.isLeaving);
+        CHECK(signals.invalidFields == std::vector<std::string> { "Server-Leaving" });
+    }
+}
--- a/Tests/comfreysaild/TestEntryTargetSignals.cpp
+++ b/Tests/comfreysaild/TestEntryTargetSignals.cpp
@@ -41,6 +41,45 @@
     }));
 }
 
+// Guards against requests to a target that leaves, while its registration still calls it ready or the store is away.
+// What another request's response says does not count.
+TEST_CASE_METHOD(EntryFixture, "Entry_TargetSaysThatItLeaves_GetsNothingMore")
+{
+    auto const where = GENERATE(values<std::string>({ "request", "probe", "other response" }));
+    CAPTURE(where);
+    std::atomic<bool> isLeaving { false };
+    std::string const field = "Server-Leaving: 1\r\n";
+    auto& leaving = addTarget("t1", [&](RawConnection& connection, std::string const& head) {
+        if (isLeaving && where == "other response")
+            connection.send(wholeResponse("", "X-Comfreysail-Request-Id: other\r\n" + field));
+        auto response = signedResponse(head, "whole");
+        if (isLeaving && where == "request")
+            response.insert(response.find("\r\n") + 2, field);
+        return connection.send(response);
+    });
+    leaving.loadScript = [&](RawConnection& connection, std::string const&) {
+        auto response = leaving.loadResponse();
+        if (isLeaving && where == "probe")
+            response.insert(response.find("\r\n") + 2, field);
+        return connection.send(response);
+    };
+    auto& other = addTarget("t2", respondWith([] { return std::string(); }));
+    StopAtScopeEnd const stop(*this);
+    other.load = "1,0,16,130"; // Makes the daemon choose the leaving one while it may.
+    startDaemon();
+    CHECK(call("GET", "/read/1").body == "whole");
+    CHECK(leaving.runs == 1);
+    setFaults(R"({"mode":"down"})");
+    isLeaving = true;
+    for (unsigned index = 0; index < 6; ++index)
+        CHECK(call(index % 2 == 0 ? "POST" : "GET", index % 2 == 0 ? "/pay/1" : "/read/1").body == "whole");
+    if (where == "other response")
+        CHECK(leaving.runs > 2);
+    else
+        CHECK(leaving.runs <= 2);
+    CHECK(leaving.runs + other.runs == 7);
+}
+
 // Guards against a response whose head breaks off, with an orderly close, and which reaches the caller as complete.
 TEST_CASE_METHOD(EntryFixture, "Entry_ResponseHeadBreaksOff_IsNotShownAsComplete")
 {
