Tests: Make the daemon choose the leaving target

Cause, seen in its output: the other target's load was good enough to be used without probing the leaving one, so the first request, or most of those that should stay, went to it. Its load is higher now, and where the first target has to stay in use the other one has no room, so that each request has to be served by the first (before: more than two).

--- a/Tests/comfreysaild/TestEntryTargetSignals.cpp
+++ b/Tests/comfreysaild/TestEntryTargetSignals.cpp
@@ -26,7 +26,7 @@
     auto& limited = addTarget("t1", respondWith([&] { return std::string(isLimited ? "Server-Limit: 2\r\n" : ""); }));
     auto& other = addTarget("t2", respondWith([] { return std::string(); }));
     StopAtScopeEnd const stop(*this);
-    other.load = "1,0,16,130"; // Makes the daemon choose the limited one while it may.
+    other.load = "1,0,16,200"; // Makes the daemon choose the limited one while it may.
     startDaemon();
     for (unsigned index = 0; index < 40; ++index) {
         CHECK(call("GET", "/read/" + std::to_string(index)).body == "whole");
@@ -65,7 +65,8 @@
     };
     auto& other = addTarget("t2", respondWith([] { return std::string(); }));
     StopAtScopeEnd const stop(*this);
-    other.load = "1,0,16,130"; // Makes the daemon choose the leaving one while it may.
+    // Makes the daemon choose the leaving one while it may; the other one has no room if that has to stay in use.
+    other.load = where == "other response" ? "2,8,2,100" : "1,0,16,200";
     startDaemon();
     CHECK(call("GET", "/read/1").body == "whole");
     CHECK(leaving.runs == 1);
@@ -74,7 +75,7 @@
     for (unsigned index = 0; index < 6; ++index)
         CHECK(call(index % 2 == 0 ? "POST" : "GET", index % 2 == 0 ? "/pay/1" : "/read/1").body == "whole");
     if (where == "other response")
-        CHECK(leaving.runs > 2);
+        CHECK(leaving.runs == 7);
     else
         CHECK(leaving.runs <= 2);
     CHECK(leaving.runs + other.runs == 7);
