LibTraffic: Send nothing to a target for as long as its Retry-After says

The daemon ejected it for 0.3 s at the second refusal only, and told refused callers to come back after 0.1 to 0.4 s whatever the targets had said.

Change: Retry-After of a 503 to this daemon's own request counts for the target's id and start time, until its end or a restart of the target, also if its registration lapses and returns. More than 300 s count as 300 s; dates and damaged values are ignored and logged. It concerns only the daemon that was told, so others are not. If no target of the service can be used, the request is refused at once, and the Retry-After of callers follows from the first target that can be used again, spread over 0.3 s and at most a third of what the caller has left.

Tests: Entry_TargetWantsNoRequestsForSomeTime_GetsNone (seen to fail with the time ignored), TargetDirectory_TargetWants..., TargetSignals_EachFormOfRetryAfter_..., RetryAfter_NoTargetUntilLater_...

--- a/Libraries/LibTraffic/DirectoryEntry.h
+++ b/Libraries/LibTraffic/DirectoryEntry.h
@@ -20,6 +20,7 @@
     bool hasLeft { false };       ///< Its address belongs to another target now, or it answered that it is draining.
     Core::Instant ejectedUntil {};
     unsigned failureStreak { 0 };
+    Core::Instant notBefore {};       ///< The target refused a request and wants none from this daemon until then.
     std::optional<TargetLimit> limit; ///< Of the rate of requests, as the target named it in its responses.
 
     bool operator==(DirectoryEntry const&) const = default;
--- a/Libraries/LibTraffic/TargetDirectory.cpp
+++ b/Libraries/LibTraffic/TargetDirectory.cpp
@@ -12,8 +12,9 @@
 
 // With this many doublings any sensible options have reached the maximum time.
 constexpr unsigned maxDoublings = 10;
-// Leaving targets that are remembered. Beyond it those without a registration are forgotten; ids are rarely used again.
-constexpr size_t maxLeaving = 4096;
+// Targets whose statements are remembered. Beyond it those without a registration are forgotten; ids are rarely used
+// again.
+constexpr size_t maxStatements = 4096;
 
 }
 
@@ -69,9 +70,11 @@
     if (target.coldLeft.count() > 0 && (isNew || hasRestarted || record.target.coldLeft != target.coldLeft))
         record.coldUntil = std::max(record.coldUntil, now + target.coldLeft);
     record.target = target;
-    auto const leaving = m_leaving.find(target.id);
-    if (leaving != m_leaving.end() && leaving->second == target.startedAt)
-        record.hasLeft = true;
+    auto const statement = m_statements.find(target.id);
+    if (statement != m_statements.end() && statement->second.startedAt == target.startedAt) {
+        record.hasLeft = record.hasLeft || statement->second.isLeaving;
+        record.notBefore = statement->second.notBefore;
+    }
     record.missingSince.reset();
     m_missing.erase(target.id);
     index(record);
@@ -144,7 +147,8 @@
         auto const& target = record->target;
         bool const isRegistered = !record->missingSince || now < m_incompleteUntil;
         if (isRegistered && target.state == RegistrationState::Ready && !record->hasLeft && now >= record->ejectedUntil
-            && (!version || target.version == *version) && !zonesOutOfService.contains(target.availabilityZone)) {
+            && now >= record->notBefore && (!version || target.version == *version)
+            && !zonesOutOfService.contains(target.availabilityZone)) {
             if (isSendAllowed(record->limit, now))
                 result.push_back(record);
             else
@@ -253,7 +257,7 @@
     if (ranked == m_rankedTargets.end())
         return std::nullopt;
     for (auto const& [rankAndId, entry] : ranked->second) {
-        if (!entry->limit || !isProbeDue(*entry->limit, now) || now < entry->ejectedUntil)
+        if (!entry->limit || !isProbeDue(*entry->limit, now) || now < entry->ejectedUntil || now < entry->notBefore)
             continue;
         record(rankAndId.second)->limit->probedAt = now;
         return entry->target.id;
@@ -283,9 +287,44 @@
     if (!found)
         return;
     found->hasLeft = true;
-    if (m_leaving.size() >= maxLeaving)
-        std::erase_if(m_leaving, [this](auto const& item) { return !m_records.contains(item.first); });
-    m_leaving.insert_or_assign(std::string(id), found->target.startedAt);
+    statementOf(found->target).isLeaving = true;
+}
+
+void TargetDirectory::noteNotBefore(std::string_view id, Instant until)
+{
+    auto* const found = record(id);
+    if (!found)
+        return;
+    found->notBefore = std::max(found->notBefore, until);
+    statementOf(found->target).notBefore = found->notBefore;
+}
+
+TargetDirectory::Statement& TargetDirectory::statementOf(RegisteredTarget const& target)
+{
+    if (m_statements.size() >= maxStatements)
+        std::erase_if(m_statements, [this](auto const& item) { return !m_records.contains(item.first); });
+    auto& statement = m_statements[target.id];
+    if (statement.startedAt != target.startedAt)
+        statement = {};
+    statement.startedAt = target.startedAt;
+    return statement;
+}
+
+std::optional<Instant> TargetDirectory::firstReturn(std::string_view service, Instant now) const
+{
+    std::optional<Instant> first;
+    auto const ranked = m_rankedTargets.find(service);
+    if (ranked == m_rankedTargets.end())
+        return first;
+    for (auto const& [rankAndId, record] : ranked->second) {
+        auto until = std::max(record->notBefore, record->ejectedUntil);
+        if (!isSendAllowed(record->limit, now))
+            until = std::max(until, record->limit->nextAllowed);
+        bool const isExpected = record->target.state == RegistrationState::Ready && !record->hasLeft;
+        if (isExpected && until > now)
+            first = std::min(first.value_or(until), until);
+    }
+    return first;
 }
 
 }
--- a/Libraries/LibTraffic/TargetDirectory.h
+++ b/Libraries/LibTraffic/TargetDirectory.h
@@ -82,6 +82,12 @@
     void noteChosen(std::string_view id, size_t daemons, Core::Instant now);
     /// Returns the number of targets of a service whose limit allows no request now.
     size_t limitedTargets(std::string_view service, Core::Instant now) const;
+    /// The target refused a request and wants none from this daemon until then. That holds until it restarts, even if
+    /// its registration disappears and returns.
+    void noteNotBefore(std::string_view id, Core::Instant until);
+    /// Returns when the first target of a service that is out of use for some time can be used again: because it
+    /// refused requests until then, is limited or ejected. Returns std::nullopt if there is no such target.
+    std::optional<Core::Instant> firstReturn(std::string_view service, Core::Instant now) const;
     /// The target said that it is leaving. It stays out of use until it restarts, even if its registration disappears
     /// and returns or still calls it ready.
     void noteLeaving(std::string_view id);
@@ -92,6 +98,14 @@
     /// The targets of a service in the order in which this daemon prefers them.
     using RankedTargets = std::map<std::pair<uint64_t, std::string_view>, DirectoryEntry const*>;
 
+    /// What a target said of itself that holds until it restarts.
+    struct Statement {
+        int64_t startedAt { 0 };
+        bool isLeaving { false };
+        Core::Instant notBefore {};
+    };
+
+    Statement& statementOf(RegisteredTarget const&);
     DirectoryEntry* record(std::string_view id);
     double limitDivisorOf(DirectoryEntry const&, size_t daemons) const;
     void update(RegisteredTarget const&, Core::Instant now);
@@ -107,9 +121,8 @@
     std::map<std::string, RankedTargets, std::less<>> m_rankedTargets; ///< By service; refers to m_records.
     /// Number of ready targets, by service and version.
     std::map<std::string, std::map<std::string, unsigned, std::less<>>, std::less<>> m_readyTargets;
-    std::set<std::string, std::less<>> m_missing; ///< Targets that are missing from the registry.
-    /// Start times of the targets that said that they leave, by id, which outlast their registrations.
-    std::map<std::string, int64_t, std::less<>> m_leaving;
+    std::set<std::string, std::less<>> m_missing;               ///< Targets that are missing from the registry.
+    std::map<std::string, Statement, std::less<>> m_statements; ///< By id; outlast the registrations.
     std::optional<Core::Instant> m_lastReadAt;
     Core::Instant m_incompleteUntil {};
 };
--- a/Libraries/LibTraffic/Traffic.h
+++ b/Libraries/LibTraffic/Traffic.h
@@ -16,6 +16,7 @@
 #include <LibTraffic/RegisteredTarget.h>
 #include <LibTraffic/RelayTree.h>
 #include <LibTraffic/ResponseVerdict.h>
+#include <LibTraffic/RetryAdvice.h>
 #include <LibTraffic/RouteTable.h>
 #include <LibTraffic/ServiceTimeEstimate.h>
 #include <LibTraffic/SharedRetryBudget.h>
--- a/Services/comfreysaild/EntryHandler.cpp
+++ b/Services/comfreysaild/EntryHandler.cpp
@@ -32,9 +32,6 @@
 constexpr auto streamStallTimeout = 30s;
 // A crashing target closes its connections before its listening port; an earlier probe could still connect.
 constexpr auto crashProbeDelay = 30ms;
-// Range of the Retry-After header; a random value spreads the retries of refused callers.
-constexpr double minRetryAfterSeconds = 0.1;
-constexpr double maxRetryAfterSeconds = 0.4;
 
 /// The time that the caller will wait, or std::nullopt if it states none.
 std::optional<Core::Duration> timeLeft(HTTP::RequestHead const& head)
@@ -52,6 +49,15 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
 
+/// In seconds, with three decimals.
+std::string secondsText(Core::Duration duration)
+{
+    constexpr int64_t millisecondsPerSecond = 1000;
+    auto const fraction = std::to_string(milliseconds(duration) % millisecondsPerSecond);
+    return std::to_string(milliseconds(duration) / millisecondsPerSecond) + "." + std::string(3 - fraction.size(), '0')
+        + fraction;
+}
+
 HTTP::ResponseHead headForCaller(EntryRequest const& request)
 {
     auto head = *request.response;
@@ -398,8 +404,8 @@
         else
             response.head.status = reason == ErrorKind::DeadlineExceeded ? gatewayTimeout : badGateway;
         if (!request.mayHaveRun) {
-            auto const seconds = minRetryAfterSeconds + (maxRetryAfterSeconds - minRetryAfterSeconds) * uniform();
-            response.head.fields.set(Platform::headerNames().retryAfter, std::to_string(seconds).substr(0, 5));
+            auto const advice = retryAdvice(request, Core::monotonicNow());
+            response.head.fields.set(Platform::headerNames().retryAfter, secondsText(advice));
         }
     }
     if (!request.requestId.empty())
@@ -409,6 +415,19 @@
     co_await exchange.respond(std::move(response.head), response.body);
 }
 
+Core::Duration EntryHandler::retryAdvice(EntryRequest const& request, Instant now)
+{
+    std::optional<Core::Duration> untilReturn;
+    auto const& directory = m_state.directory;
+    // Targets that are merely full have room again within milliseconds.
+    if (directory.eligible(request.service, std::nullopt, m_state.zonesOutOfService, now).empty()) {
+        if (auto const first = directory.firstReturn(request.service, now))
+            untilReturn = *first - now;
+    }
+    auto const timeLeft = request.callerDeadline ? std::optional(*request.callerDeadline - now) : std::nullopt;
+    return Traffic::retryAfter(untilReturn, timeLeft, uniform());
+}
+
 void EntryHandler::noteSend(EntryRequest& request, RegisteredTarget const& target)
 {
     request.isLastTargetInOwnZone = target.availabilityZone == m_ownZone;
--- a/Services/comfreysaild/EntryHandler.h
+++ b/Services/comfreysaild/EntryHandler.h
@@ -33,6 +33,7 @@
     void noteFault(EntryRequest const&, Traffic::RegisteredTarget const&, Traffic::ResponseVerdict);
     /// Probes a target whose connection was lost during a request, and reports a crash if the target does not respond.
     HTTP::awaitable<void> confirmCrash(uint64_t fingerprint, Traffic::RegisteredTarget, std::string healthPath);
+    Core::Duration retryAdvice(EntryRequest const&, Core::Instant now);
     double uniform();
 
     HTTP::ConnectionPool& m_pool;
--- a/Services/comfreysaild/EntryState.cpp
+++ b/Services/comfreysaild/EntryState.cpp
@@ -25,6 +25,14 @@
         state.directory.noteLeaving(target);
         Telemetry::EventLine("target_leaving").add("target", target).add("probe", isProbe).logInfo();
     }
+    // A refused load probe says nothing about requests.
+    if (signals.retryAfter && !isProbe) {
+        state.directory.noteNotBefore(target, now + *signals.retryAfter);
+        Telemetry::EventLine("target_not_before")
+            .add("target", target)
+            .add("ms", std::chrono::duration_cast<std::chrono::milliseconds>(*signals.retryAfter).count())
+            .logInfo();
+    }
     auto const limitOf = [&] { return record->limit ? record->limit->requestsPerSecond : -1; };
     auto const before = limitOf();
     thread_local std::mt19937 generator { std::random_device {}() };
--- a/Services/comfreysaild/TargetExchange.cpp
+++ b/Services/comfreysaild/TargetExchange.cpp
@@ -149,8 +149,7 @@
         }
         // The response of another target, at an address that was given away, says nothing about this one.
         if (facts.id == Traffic::ResponseId::OfThisRequest && verdict != ResponseVerdict::OtherTarget)
-            noteSignals(m_state, target.id, Platform::decodeTargetSignals(request.response->fields), false,
-                request.sentAt, Core::monotonicNow());
+            noteTargetSignals(request, target);
         bool const isComplete = co_await readBody(request, *connection);
         if (verdict == ResponseVerdict::Foreign && isComplete && !request.streamingConnection)
             continue;
@@ -181,6 +180,15 @@
     co_return ResponseVerdict::Invalid;
 }
 
+void TargetExchange::noteTargetSignals(EntryRequest const& request, RegisteredTarget const& target)
+{
+    constexpr unsigned unavailable = 503;
+    auto signals = Platform::decodeTargetSignals(request.response->fields);
+    if (request.response->status != unavailable)
+        signals.retryAfter.reset();
+    noteSignals(m_state, target.id, signals, false, request.sentAt, Core::monotonicNow());
+}
+
 awaitable<bool> TargetExchange::readBody(EntryRequest& request, ClientConnection& connection)
 {
     auto& body = request.responseBody;
--- a/Tests/LibTraffic/TestTargetDirectory.cpp
+++ b/Tests/LibTraffic/TestTargetDirectory.cpp
@@ -228,3 +228,35 @@
     directory.applyChanges({ target("c") }, {}, at(5s));
     CHECK(eligible(5s) == Ids { "a", "b", "c" });
 }
+
+// Guards against requests to a target that refused one and wants none for some time, also when it registers again
+// meanwhile.
+TEST_CASE_METHOD(DirectoryFixture, "TargetDirectory_TargetWantsNoRequestsForSomeTime_GetsNone")
+{
+    directory.replaceAll({ target("a"), target("b") }, at(0s));
+    directory.noteNotBefore("a", at(5s));
+    directory.noteNotBefore("a", at(4s));
+    directory.noteAnswered("a");
+    CHECK(eligible(0s) == Ids { "b" });
+    CHECK(directory.firstReturn("orders", at(0s)) == at(5s));
+    directory.replaceAll({ target("b") }, at(1s));
+    directory.replaceAll({ target("a"), target("b") }, at(2s));
+    CHECK(eligible(4900ms) == Ids { "b" });
+    CHECK(eligible(5s) == Ids { "a", "b" });
+    CHECK_FALSE(directory.firstReturn("orders", at(5s)));
+    directory.noteNotBefore("a", at(50s));
+    directory.applyChanges({ target("a", 2) }, {}, at(6s));
+    CHECK(eligible(6s) == Ids { "a", "b" });
+}
+
+// Guards against callers that come back before any target can be used, or too late to be served.
+TEST_CASE("RetryAfter_NoTargetUntilLater_FollowsItWithinAThirdOfTheTimeLeft")
+{
+    CHECK(retryAfter({}, {}, 0) == 100ms);
+    CHECK(retryAfter({}, {}, 0.5) == 250ms);
+    CHECK(retryAfter(1s, {}, 0.5) == 1250ms);
+    CHECK(retryAfter(1s, 9s, 0.5) == 1250ms);
+    CHECK(retryAfter(5s, 3s, 0.5) == 1s);
+    CHECK(retryAfter(-1s, 3s, 0) == 100ms);
+    CHECK(retryAfter(1s, -1s, 0) == 0s);
+}
--- a/Tests/Platform/TestTargetSignals.cpp
+++ b/Tests/Platform/TestTargetSignals.cpp
@@ -2,6 +2,7 @@
 #include <platform/Platform.h>
 
 using namespace Comfreysail;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -46,3 +47,18 @@
         CHECK(signals.invalidFields == std::vector<std::string> { "Server-Leaving" });
     }
 }
+
+TEST_CASE("TargetSignals_EachFormOfRetryAfter_HasItsStatedMeaning")
+{
+    auto const timeOf = [](std::string const& value) { return signalsOf({ { "Retry-After", value } }).retryAfter; };
+    CHECK(timeOf("2") == 2s);
+    CHECK(timeOf("0.25") == 250ms);
+    CHECK(timeOf("0") == 0s);
+    CHECK(timeOf("100000000") == 300s);
+    CHECK(signalsOf({ { "Retry-After", "1" }, { "Retry-After", "3" }, { "Retry-After", "2" } }).retryAfter == 3s);
+    for (auto const* value : { "", "-1", "1e3", "nan", "Fri, 31 Dec 1999 23:59:59 GMT", "1.2.3", "9999999999999999" }) {
+        CAPTURE(value);
+        CHECK_FALSE(timeOf(value));
+        CHECK(signalsOf({ { "Retry-After", value } }).invalidFields == std::vector<std::string> { "Retry-After" });
+    }
+}
--- a/Tests/comfreysaild/TestEntryTargetSignals.cpp
+++ b/Tests/comfreysaild/TestEntryTargetSignals.cpp
@@ -81,6 +81,43 @@
     CHECK(leaving.runs + other.runs == 7);
 }
 
+// Guards against requests to a target that refused one and wants none for some time, and against callers that are told
+// to come back before any target can be used.
+TEST_CASE_METHOD(EntryFixture, "Entry_TargetWantsNoRequestsForSomeTime_GetsNone")
+{
+    bool const isOnly = GENERATE(false, true);
+    CAPTURE(isOnly);
+    auto& refusing = addTarget("t1", [](RawConnection& connection, std::string const& head) {
+        return connection.send(wholeResponse("",
+            "X-Comfreysail-Request-Id: " + requestIdOf(head)
+                + "\r\nX-Comfreysail-Not-Executed: full\r\nRetry-After: 1.5\r\n",
+            "503 Service Unavailable"));
+    });
+    EntryTarget* other = nullptr;
+    if (!isOnly) {
+        other = &addTarget("t2", respondWith([] { return std::string(); }));
+        other->load = "1,0,16,200"; // Makes the daemon choose the refusing one while it may.
+    }
+    StopAtScopeEnd const stop(*this);
+    startDaemon();
+    auto const begin = std::chrono::steady_clock::now();
+    while (std::chrono::steady_clock::now() - begin < 1200ms) {
+        auto const response = call("GET", "/read/1");
+        CHECK(response.status() == (isOnly ? 503U : 200U));
+        if (isOnly) {
+            CHECK(response.field("Retry-After") >= "0.3");
+            CHECK(response.field("Retry-After") <= "0.667");
+        }
+        std::this_thread::sleep_for(40ms);
+    }
+    CHECK(refusing.runs == 1);
+    CHECK(eventually([&] {
+        call("GET", "/read/1");
+        return refusing.runs == 2;
+    }));
+    CHECK(std::chrono::steady_clock::now() - begin >= 1500ms);
+}
+
 // Guards against a response whose head breaks off, with an orderly close, and which reaches the caller as complete.
 TEST_CASE_METHOD(EntryFixture, "Entry_ResponseHeadBreaksOff_IsNotShownAsComplete")
 {
