Meta: Let the soak's targets say that they leave and ask for pauses

Targets that leave say so in their responses, and targets that shed requests add Retry-After. The soak checks by daemon and incarnation that no request sent later than drain-s reaches a target after its response said that it leaves, whatever the store does, and that at most two reach it between 0.5 s and the end of the time that it asked for; a frozen daemon is excused.

--- a/Meta/Cluster/soak.py
+++ b/Meta/Cluster/soak.py
@@ -28,6 +28,9 @@
 MAX_DESCRIPTORS = 400
 
 ROLLBACK_SLACK = 0.25
+# A target that has asked for a pause gets at most this many requests from that daemon between this time and the pause's end.
+PAUSE_REQUESTS = 2
+PAUSE_SLACK = 0.5
 
 ROUTES = {"read": "safe", "pay": "unsafe", "upload": "upload", "trial": "safe"}
 # Each change of the settings adds a route with this prefix and the version. The requests on it show which settings a
@@ -68,6 +71,31 @@
         self.records = {}
         self.unknown_runs = []
         self.late_runs = []
+        self.said_leaving = {}  # Time at which a daemon passed on that a target leaves, by (daemon, incarnation, target).
+        self.used_leaving = []  # Requests that came later than the bound all the same: (request id, target, lateness).
+        self.pauses = []  # (daemon, incarnation, target, start, end) of each pause that a target asked for.
+        self.arrivals = []  # (daemon, incarnation, target, time) of each request.
+
+    def note_arrival(self, request_id, target):
+        record = self.records.get(request_id)
+        if record is None:
+            return
+        daemon = (record.daemon, record.incarnation, target.name)
+        self.arrivals.append((*daemon, time.monotonic()))
+        said_at = self.said_leaving.get(daemon)
+        if said_at is not None and record.sent_at > said_at + DRAIN:
+            self.used_leaving.append((request_id, target.name, record.sent_at - said_at))
+
+    def note_leaving(self, request_id, target):
+        """The response to this request has reached its caller, and said that the target leaves."""
+        record = self.records[request_id]
+        self.said_leaving.setdefault((record.daemon, record.incarnation, target.name), time.monotonic())
+
+    def note_pause(self, request_id, target, seconds):
+        record = self.records.get(request_id)
+        if record is not None:
+            now = time.monotonic()
+            self.pauses.append((record.daemon, record.incarnation, target.name, now, now + seconds))
 
     def note_request(self, request_id, kind, daemon):
         self.records[request_id] = Record(request_id, kind, daemon)
@@ -316,6 +344,7 @@
             return
         self.targets.remove(target)
         self.left.append(target)
+        target.is_leaving = True
         await self.add_target()
         if event.draw < 0.6:
             await self.register(target, "draining")
@@ -422,6 +451,8 @@
         records = self.journal.records.values()
         found += [f"run of an unknown request: {run}" for run in self.journal.unknown_runs]
         found += [f"a target that had left ran {run}" for run in self.journal.late_runs if not self.was_store_disturbed(run)]
+        found += [f"a target that said that it leaves got {late}" for late in self.journal.used_leaving]
+        self.check_pauses()
         for record in records:
             name = f"{record.request_id} ({record.kind}, {record.daemon}, {record.result})"
             is_once = ROUTES.get(record.kind) in ("unsafe", "upload")
@@ -447,6 +478,18 @@
                     found.append(f"refused on a route added {late:.2f} s before: {name}")
         self.check_settings_never_go_back()
 
+    def check_pauses(self):
+        """A daemon that was frozen meanwhile is excused; its incarnation tells a restart."""
+        arrivals = {}
+        for *daemon, moment in self.journal.arrivals:
+            arrivals.setdefault(tuple(daemon), []).append(moment)
+        for *daemon, start, end in self.journal.pauses:
+            if any(begin <= end and start <= finish for begin, finish in self.paused):
+                continue
+            count = sum(start + PAUSE_SLACK < moment < end for moment in arrivals.get(tuple(daemon), []))
+            if count > PAUSE_REQUESTS:
+                self.problems.append(f"{daemon[2]} got {count} requests from {daemon[0]} in the {end - start:.1f} s that it asked for")
+
     def check_settings_never_go_back(self):
         """A daemon that knew an added route knows it, and all added before, until it is started again."""
         newest = {}
--- a/Meta/Cluster/soak_peers.py
+++ b/Meta/Cluster/soak_peers.py
@@ -10,6 +10,8 @@
 READ_LIMIT = 1 << 20
 # How long a target runs a request, in seconds.
 WORK = (0.005, 0.06)
+# For how long a target that sheds requests wants none, in seconds.
+PAUSE = 1.2
 
 
 def close_hard(writer):
@@ -54,6 +56,7 @@
         self.generator = generator
         self.faults = ()
         self.left_at = None
+        self.is_leaving = False
         self.running = 0
         self.slots = 2
         self.server = None
@@ -82,7 +85,8 @@
 
     def fields(self, request_id):
         load = f"X-Comfreysail-Backend-Load: {min(self.running, self.slots)},{max(0, self.running - self.slots)},{self.slots},100\r\n"
-        return f"X-Comfreysail-Request-Id: {request_id}\r\n{load}" if request_id else load
+        leaving = "Server-Leaving: 1\r\n" if self.is_leaving and request_id else ""
+        return f"X-Comfreysail-Request-Id: {request_id}\r\n{load}{leaving}" if request_id else load
 
     async def serve_one(self, reader, writer):
         first, fields, body = await read_message(reader)
@@ -96,13 +100,18 @@
             writer.write(f"HTTP/1.1 200 OK\r\n{identity}{self.fields('')}Content-Length: 0\r\n\r\n".encode())
             await writer.drain()
             return True
+        self.journal.note_arrival(request_id, self)
         expected = fields.get("x-comfreysail-expect-instance", self.name)
         refusal = "421 Misdirected Request" if expected != self.name else None
-        if ("shed" in self.faults and self.generator.random() < 0.5) or self.running >= self.slots + 4:
+        is_shed = "shed" in self.faults and self.generator.random() < 0.5
+        if is_shed or self.running >= self.slots + 4:
             refusal = refusal or "503 Service Unavailable"
+        pause = f"Retry-After: {PAUSE}\r\n" if is_shed and refusal.startswith("503") else ""
+        if pause:
+            self.journal.note_pause(request_id, self, PAUSE)
         if refusal:
             writer.write(
-                f"HTTP/1.1 {refusal}\r\n{self.fields(request_id)}X-Comfreysail-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n".encode()
+                f"HTTP/1.1 {refusal}\r\n{self.fields(request_id)}X-Comfreysail-Not-Executed: 1\r\n{pause}Content-Length: 0\r\n\r\n".encode()
             )
             await writer.drain()
             return True
@@ -284,6 +293,8 @@
         status = int(first.split()[1])
         is_right = content == answer_for(request_id, body) and fields.get("x-comfreysail-request-id") == request_id
         record.finish(status, daemon, is_wrong=status == 200 and not is_right)
+        if is_right and fields.get("server-leaving") == "1" and record.runs:
+            self.journal.note_leaving(request_id, record.runs[-1][1])
         if status in (429, 503):
             await asyncio.sleep(min(float(fields.get("retry-after", "0.1")), 0.5))
         return fields.get("connection", "").lower() != "close"
