--- a/Tests/comfreysaild/TestEntryState.cpp
+++ b/Tests/comfreysaild/TestEntryState.cpp
@@ -14,6 +14,24 @@
         + R"(","kind":"safe","timeout-s":1,"target-latency-s":0.3,"priority":1,"service":"orders","max-attempts":2})";
 }
 
+std::string manyRoutes()
+{
+    std::string routes;
+    for (unsigned number = 0; number < 1700; ++number)
+        routes += "," + routeText("r" + std::to_string(number), "/" + std::to_string(number * 7919) + "/", "safe");
+    return routes;
+}
+
+/// A daemon that cannot reach the store and gets its rows from the daemon at this port.
+DaemonOptions followerOf(uint16_t controlPort)
+{
+    DaemonOptions options;
+    options.vmName = "entry-2";
+    options.platformPort = 9; // Nothing listens there.
+    options.seedPorts = { controlPort };
+    return options;
+}
+
 bool respondComplete(RawConnection& connection, std::string const& head)
 {
     connection.send(signedResponse(head, "whole"));
@@ -125,11 +143,7 @@
 {
     addTarget("t1", respondComplete);
     auto& first = startDaemon();
-    DaemonOptions options;
-    options.vmName = "entry-2";
-    options.platformPort = 9; // Nothing listens there.
-    options.seedPorts = { first.controlPort() };
-    auto& second = startDaemon(options);
+    auto& second = startDaemon(followerOf(first.controlPort()));
     writePlan(
         5, R"(,{"name":"new","host":"orders.test","prefix":"/new/","kind":"safe","timeout-s":1,"service":"orders"})");
     CHECK(eventually(
@@ -274,9 +288,7 @@
 TEST_CASE_METHOD(EntryFixture, "Entry_SettingsWithManyRoutes_AreRelayedInAFractionOfTheirSize")
 {
     addTarget("t1", respondComplete);
-    std::string routes;
-    for (unsigned number = 0; number < 1700; ++number)
-        routes += "," + routeText("r" + std::to_string(number), "/" + std::to_string(number * 7919) + "/", "safe");
+    auto routes = manyRoutes();
     writePlan(3, routes);
     auto const& source = startDaemon();
     auto const rowsOf = [&](std::string const& query) {
@@ -325,11 +337,7 @@
         values.push_back(entry("addr", "\"" + std::string(address) + "\""));
     addTarget("t1", respondComplete);
     auto& first = startDaemon();
-    DaemonOptions options;
-    options.vmName = "entry-2";
-    options.platformPort = 9; // Nothing listens there.
-    options.seedPorts = { first.controlPort() };
-    auto& second = startDaemon(options);
+    auto& second = startDaemon(followerOf(first.controlPort()));
     for (size_t index = 0; index < values.size(); ++index)
         writeRegistryRow("odd-" + std::to_string(index), values[index]);
     writeRegistryRow("odd\r\nX-Smuggled: 1\r\n", entry("slots", "2"));
@@ -363,14 +371,8 @@
         return connection.send(response);
     });
     StopAtScopeEnd const stop(*this);
-    DaemonOptions options;
-    options.vmName = "entry-2";
-    options.platformPort = 9; // Nothing listens there.
-    options.seedPorts = { link.port() };
-    auto& follower = startDaemon(options);
-    std::string routes;
-    for (unsigned number = 0; number < 1700; ++number)
-        routes += "," + routeText("r" + std::to_string(number), "/" + std::to_string(number * 7919) + "/", "safe");
+    auto& follower = startDaemon(followerOf(link.port()));
+    auto routes = manyRoutes();
     auto const isServed = [&](int version) {
         auto connection = follower.connect();
         connection.send(requestText("GET", "/added" + std::to_string(version) + "/1", "a1"));
@@ -421,19 +423,14 @@
         return isSent;
     });
     StopAtScopeEnd const stop(*this);
-    DaemonOptions options;
-    options.vmName = "entry-2";
-    options.platformPort = 9; // Nothing listens there.
-    options.seedPorts = { narrowLink.port() };
+    auto options = followerOf(narrowLink.port());
     auto const isServed = [](DaemonProcess const& daemon) {
         auto connection = daemon.connect();
         connection.send(requestText("GET", "/added-last/1", "a1"));
         return connection.readResponse().status() == 200;
     };
     auto& follower = startDaemon(options);
-    std::string routes;
-    for (unsigned number = 0; number < 1700; ++number)
-        routes += "," + routeText("r" + std::to_string(number), "/" + std::to_string(number * 7919) + "/", "safe");
+    auto routes = manyRoutes();
     writePlan(5, routes + "," + routeText("last", "/added-last/", "safe"));
     CHECK(eventually([&] { return isServed(follower); }, 2s));
     CHECK(transfers == 1);
