--- a/review/3/case.py
+++ b/review/3/case.py
@@ -52,8 +52,10 @@
             system.record.note("crash", backend=backend.name)
             backend.stop()
             await asyncio.sleep(CRASH_FOR_S)
-            await backend.start()
+            await backend.start(is_cold=True)
         await asyncio.sleep(3)
+    # The final fault follows the ack of a manifest.
+    system.store.put_json("op", "config", standins.manifest(2, ROUTES))
     killed_at = time.monotonic()
     if TROUBLE:
         system.record.note("kill_all")
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -25,6 +25,7 @@
 BOUNDS = {"grace-s": 6, "budget-ratio": 0.2, "budget-slack": 56}
 HEARTBEAT_S = 1.5
 STORE_ANSWER_S = 0.004
+COLD_S, COLD_SLOWNESS = 3.0, 2.0
 PROMISES = (408, 421, 429, 503)
 
 
@@ -208,10 +209,13 @@
         self.slots = asyncio.Semaphore(self.SLOTS)
         self.state = "ready"
         self.born = 0
+        self.cold_until = 0.0
+        self.arrivals = []  # (time, request id) of each request that is not another backend's
         self.runs = []  # (time, request id, path)
         self.heart = None
 
-    async def start(self, port=None):
+    async def start(self, port=None, is_cold=False):
+        self.cold_until = time.monotonic() + COLD_S if is_cold else 0.0
         self.born = int(time.time() * 1000)
         self.running = self.waiting = self.sequence = 0
         self.slots = asyncio.Semaphore(self.SLOTS)
@@ -232,13 +236,20 @@
         self.sequence += 1
         self.store.put_json("servers", self.name, {
             "service": self.service, "addr": f"127.0.0.1:{self.port}", "zone": self.zone, "version": self.version,
-            "slots": self.SLOTS, "state": self.state, "cold-left-s": 0, "sequence": self.sequence, "born": self.born})
+            "slots": self.SLOTS, "state": self.state, "cold-left-s": round(self.cold_left(), 3), "sequence": self.sequence, "born": self.born})
 
     async def beat(self):
         while True:
             self.report()
             await asyncio.sleep(HEARTBEAT_S)
 
+    def cold_left(self):
+        return max(0.0, self.cold_until - time.monotonic())
+
+    def health(self):
+        fields = {"X-Comfreysail-Instance-Id": self.name, "X-Comfreysail-Cold-Ms": int(1000 * self.cold_left())}
+        return message(200 if self.state == "ready" else 503, {**fields, **self.load()})
+
     def load(self):
         return {"X-Comfreysail-Backend-Load": f"{self.running},{self.waiting},{self.SLOTS}"}
 
@@ -247,8 +258,7 @@
             first, fields, body = await read_message(reader)
             method, path, _ = first.split(" ")
             if path == "/health":
-                status = 200 if self.state == "ready" else 503
-                answer = message(status, {"X-Comfreysail-Instance-Id": self.name, **self.load()})
+                answer = self.health()
             else:
                 answer = await self.handle(method, path, fields, body)
             writer.write(answer)
@@ -259,6 +269,7 @@
         echo = {"X-Comfreysail-Request-Id": request_id}
         if fields.get("x-comfreysail-expect-instance", self.name) != self.name:
             return message(421, {**echo, "X-Comfreysail-Instance-Id": self.name})
+        self.arrivals.append((time.monotonic(), request_id))
         if self.running + self.waiting >= self.SLOTS + self.QUEUE:
             return message(503, {**echo, "X-Comfreysail-Not-Executed": "1", **self.load()})
         self.waiting += 1
@@ -273,7 +284,7 @@
                 self.running -= 1
 
     async def work(self, method, path, fields, body, answer_fields):
-        await asyncio.sleep(self.work_s)
+        await asyncio.sleep(self.work_s * (COLD_SLOWNESS if self.cold_left() else 1))
         return message(200, {**answer_fields, **self.load()}, f"{path} {request_tag(body)}".encode())
 
 
@@ -320,7 +331,7 @@
         environment["COMFREYSAIL_SETTINGS"] = self.settings
         with open(self.log, "ab") as log:
             self.process = subprocess.Popen(arguments, cwd=ROOT, env=environment, stdin=subprocess.DEVNULL,
-                                            stdout=log, stderr=subprocess.STDOUT, start_new_session=True)
+                                            stdout=log, stderr=subprocess.STDOUT)
 
     def is_running(self):
         return self.process is not None and self.process.poll() is None
@@ -487,4 +498,8 @@
             system.record.file.close()
 
     signal.signal(signal.SIGTERM, lambda *_: signal.raise_signal(signal.SIGINT))
-    sys.exit(asyncio.run(run()))
+    try:
+        code = asyncio.run(run())
+    except KeyboardInterrupt:
+        code = 2
+    sys.exit(code)
