review: End a stopped script with 2 and without processes

SIGTERM did nothing where SIGINT is ignored, as for a command in a shell's background, and a script that failed before its start ended with 1, which says that the rule was broken. Only the end of the scripts changes.

--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -484,22 +484,24 @@
     folder = os.path.dirname(os.path.abspath(case_file))
 
     async def run():
+        # Also where SIGINT is ignored, as in a shell's background.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         system = System(folder)
         try:
             async with asyncio.timeout(limit_s):
                 held = await play(system)
             system.record.say("the rule held" if held else "the rule was broken")
             return 0 if held else 1
-        except Exception as error:
+        except (Exception, asyncio.CancelledError) as error:
             system.record.say(f"could not run: {type(error).__name__}: {error}")
             return 2
         finally:
             system.stop()
             system.record.file.close()
 
-    signal.signal(signal.SIGTERM, lambda *_: signal.raise_signal(signal.SIGINT))
     try:
         code = asyncio.run(run())
-    except KeyboardInterrupt:
+    except (Exception, KeyboardInterrupt) as error:
+        print(f"could not run: {type(error).__name__}: {error}", file=sys.stderr)
         code = 2
     sys.exit(code)
