comfreysaild: Date crash reports and withdraw them when the request is answered

What callers saw: a lookup that many callers send was in flight at three unrelated crashes of targets.

Cause: rows of comfreysail-crashes had neither a time nor an end, while a daemon that runs clears a suspect in its own memory when the request is answered. A daemon that starts counted all rows as crashes of this moment and knew of no answer. Ruled out: the age of the rows alone (the crashes are seconds apart, and a report has to count for ten minutes), and the missing caller in the fingerprint (all lookups are answered, and no field names a caller).

Change: a row holds the time of the crash by the store's clock and counts from then on; readers remove it after ten minutes. A daemon that gets a response to a suspect removes its rows, and the others forget these reports. A request that another target answered before its target is found dead is not reported. Reports are read before requests are served.

--- a/Libraries/LibRetry/Quarantine.cpp
+++ b/Libraries/LibRetry/Quarantine.cpp
@@ -8,22 +8,34 @@
 {
 }
 
-void Quarantine::noteCrash(CrashReport const& report, Core::Instant now)
+void Quarantine::noteCrash(CrashReport const& report, Core::Instant crashedAt)
 {
-    auto& entry = findOrInsert(report.fingerprint, now);
+    auto& entry = findOrInsert(report.fingerprint, crashedAt);
     auto& instances = entry.targetInstances;
     bool const isKnown = std::find(instances.begin(), instances.end(), report.targetInstance) != instances.end();
     if (isKnown || instances.size() >= m_limits.crashesUntilRefused)
         return;
     instances.push_back(report.targetInstance);
-    entry.lastCrash = now;
+    entry.lastCrash = std::max(entry.lastCrash, crashedAt);
     m_fingerprintsByChange.splice(m_fingerprintsByChange.end(), m_fingerprintsByChange, entry.position);
 }
 
-void Quarantine::noteAnswered(uint64_t fingerprint, Core::Instant now)
+void Quarantine::withdraw(CrashReport const& report)
 {
-    if (isSuspect(fingerprint, now))
-        erase(fingerprint);
+    auto const found = m_entries.find(report.fingerprint);
+    if (found == m_entries.end())
+        return;
+    std::erase(found->second.targetInstances, report.targetInstance);
+    if (found->second.targetInstances.empty())
+        erase(report.fingerprint);
+}
+
+bool Quarantine::noteAnswered(uint64_t fingerprint, Core::Instant now)
+{
+    if (!isSuspect(fingerprint, now))
+        return false;
+    erase(fingerprint);
+    return true;
 }
 
 bool Quarantine::isRefused(uint64_t fingerprint, Core::Instant now) const
--- a/Libraries/LibRetry/Quarantine.h
+++ b/Libraries/LibRetry/Quarantine.h
@@ -44,11 +44,16 @@
 public:
     explicit Quarantine(QuarantineLimits = {});
 
-    /// Records a crash that this daemon or a peer reported. A report that arrives twice counts once.
-    void noteCrash(CrashReport const&, Core::Instant now);
+    /// Records a crash that this daemon or a peer reported. A report that arrives twice counts once. `crashedAt` may be
+    /// in the past.
+    void noteCrash(CrashReport const&, Core::Instant crashedAt);
 
-    /// Clears a suspect fingerprint that got a response. A refused fingerprint stays refused.
-    void noteAnswered(uint64_t fingerprint, Core::Instant now);
+    /// Withdraws a report, because another daemon found that the request crashes no target or the report has expired.
+    void withdraw(CrashReport const&);
+
+    /// Clears a suspect fingerprint that got a response. A refused fingerprint stays refused. Returns true if the
+    /// fingerprint was cleared.
+    bool noteAnswered(uint64_t fingerprint, Core::Instant now);
 
     bool isRefused(uint64_t fingerprint, Core::Instant now) const;
 
@@ -59,6 +64,7 @@
     std::vector<QuarantineEntry> entries(Core::Instant now) const;
 
     size_t size() const { return m_entries.size(); }
+    QuarantineLimits const& limits() const { return m_limits; }
 
 private:
     struct Entry {
--- a/Libraries/LibTraffic/Traffic.h
+++ b/Libraries/LibTraffic/Traffic.h
@@ -21,6 +21,7 @@
 #include <LibTraffic/ServiceTimeEstimate.h>
 #include <LibTraffic/SharedRetryBudget.h>
 #include <LibTraffic/SharedRows.h>
+#include <LibTraffic/StoreClock.h>
 #include <LibTraffic/TargetDirectory.h>
 #include <LibTraffic/TargetLimit.h>
 #include <LibTraffic/TargetLoad.h>
--- a/Services/comfreysaild/EntryDaemon.cpp
+++ b/Services/comfreysaild/EntryDaemon.cpp
@@ -70,15 +70,13 @@
     , m_reader(m_store, m_state, m_adopter)
     , m_relay(m_context, m_pool, m_state, m_settings.vmName)
     , m_moveController(m_context, m_reader, m_relay, m_adopter, m_state, m_settings.vmName)
-    , m_follower(m_context, m_reader, m_relay, m_adopter, m_moveController, m_state,
+    , m_crashReporter(m_context, m_reader, m_state)
+    , m_follower(m_context, m_reader, m_relay, m_adopter, m_moveController, m_crashReporter, m_state,
           { m_settings.vmName, m_settings.control.address + ":" + std::to_string(m_settings.control.port),
               m_settings.processorShare },
           m_settings.seeds, m_settings.isFirstStart)
     , m_prober(m_context, m_pool, m_state)
-    , m_handler(m_context, m_pool, m_prober, m_state, m_settings.availabilityZone,
-          [this](uint64_t fingerprint, std::string targetInstance) {
-              asio::co_spawn(m_context, reportCrash(fingerprint, std::move(targetInstance)), asio::detached);
-          })
+    , m_handler(m_context, m_pool, m_prober, m_state, m_settings.availabilityZone, m_crashReporter)
     , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
 {
 }
@@ -120,14 +118,6 @@
     return exitSuccess;
 }
 
-awaitable<void> EntryDaemon::reportCrash(uint64_t fingerprint, std::string targetInstance)
-{
-    Platform::StoreRow row;
-    row.table = Platform::Table::crashes;
-    row.key = Core::toHex(fingerprint) + "-" + targetInstance;
-    co_await m_reader.write(std::move(row), false);
-}
-
 bool EntryDaemon::isReady() const { return !m_state.isShuttingDown && m_state.plan && m_state.hasReadTargets; }
 
 awaitable<void> EntryDaemon::pause(Core::Duration duration)
--- a/Services/comfreysaild/EntryDaemon.h
+++ b/Services/comfreysaild/EntryDaemon.h
@@ -26,8 +26,6 @@
     HTTP::awaitable<void> maintenanceLoop();
     /// Detects pauses of the process.
     HTTP::awaitable<void> tickLoop();
-    /// Writes a row to the store, so that all daemons learn that the request crashed the target instance.
-    HTTP::awaitable<void> reportCrash(uint64_t fingerprint, std::string targetInstance);
     HTTP::awaitable<void> waitForSignals();
     HTTP::awaitable<void> shutDown();
     HTTP::awaitable<void> pause(Core::Duration);
@@ -49,6 +47,7 @@
     StoreReader m_reader;
     Relay m_relay;
     MoveController m_moveController;
+    CrashReporter m_crashReporter;
     StoreFollower m_follower;
     LoadProber m_prober;
     EntryHandler m_handler;
--- a/Services/comfreysaild/EntryHandler.cpp
+++ b/Services/comfreysaild/EntryHandler.cpp
@@ -73,7 +73,7 @@
 }
 
 EntryHandler::EntryHandler(boost::asio::io_context& context, HTTP::ConnectionPool& pool, LoadProber& prober,
-    EntryState& state, std::string ownZone, ReportCrash reportCrash)
+    EntryState& state, std::string ownZone, CrashReporter& crashReporter)
     : m_pool(pool)
     , m_prober(prober)
     , m_state(state)
@@ -81,7 +81,7 @@
     , m_ownZone(ownZone)
     , m_selector(context, prober, state, std::move(ownZone))
     , m_exchange(pool, state)
-    , m_reportCrash(std::move(reportCrash))
+    , m_crashReporter(crashReporter)
 {
 }
 
@@ -130,7 +130,7 @@
         co_return errorOf(received);
     request.fingerprint = Retry::fingerprintOf({ request.service, head.method, head.target, *request.body });
     if (m_state.quarantine.isRefused(request.fingerprint, request.arrivedAt))
-        co_return Error { ErrorKind::RequestQuarantined, {} };
+        co_return Error { ErrorKind::RequestQuarantined, "fingerprint " + Core::toHex(request.fingerprint) };
     Telemetry::EventLine("request_arrived")
         .add("request_id", request.requestId)
         .add("route", request.route->name)
@@ -224,11 +224,14 @@
             .logInfo();
         if (request.wasConnectionLost && !request.stopSignal.reason()) {
             auto const& healthPath = request.plan->services.find(request.service)->second.healthPath;
-            HTTP::asio::co_spawn(
-                request.exchange.strand(), confirmCrash(request.fingerprint, target, healthPath), HTTP::asio::detached);
+            if (!request.wasAnsweredAfterLoss)
+                request.wasAnsweredAfterLoss = std::make_shared<bool>(false);
+            HTTP::asio::co_spawn(request.exchange.strand(),
+                confirmCrash(request.fingerprint, target, healthPath, request.wasAnsweredAfterLoss),
+                HTTP::asio::detached);
         }
         if (verdict == ResponseVerdict::Deliver)
-            m_state.quarantine.noteAnswered(request.fingerprint, Core::monotonicNow());
+            noteAnswered(request);
         noteEvidence(request, target, verdict);
         noteFault(request, target, verdict);
         if (request.stopSignal.reason()) {
@@ -268,21 +271,37 @@
     return m_state.retries.tryTake(request.service);
 }
 
-awaitable<void> EntryHandler::confirmCrash(uint64_t fingerprint, RegisteredTarget target, std::string healthPath)
+void EntryHandler::noteAnswered(EntryRequest& request)
 {
+    if (request.wasAnsweredAfterLoss)
+        *request.wasAnsweredAfterLoss = true;
+    if (!m_state.quarantine.noteAnswered(request.fingerprint, Core::monotonicNow()))
+        return;
+    Telemetry::EventLine("request_cleared")
+        .add("request_id", request.requestId)
+        .add("fingerprint", Core::toHex(request.fingerprint))
+        .logInfo();
+    m_crashReporter.withdraw(request.fingerprint);
+}
+
+awaitable<void> EntryHandler::confirmCrash(
+    uint64_t fingerprint, RegisteredTarget target, std::string healthPath, std::shared_ptr<bool const> wasAnswered)
+{
+    auto const crashedAt = Core::monotonicNow();
     auto const executor = co_await HTTP::asio::this_coro::executor;
     HTTP::asio::steady_timer timer(executor, crashProbeDelay);
     co_await timer.async_wait(HTTP::useTuple);
     auto const isAlive = co_await m_prober.isResponding(target, std::move(healthPath));
-    if (isAlive)
+    if (isAlive || *wasAnswered)
         co_return;
     auto const instance = target.id + "@" + std::to_string(target.startedAt);
     Telemetry::EventLine("target_crashed_with_request")
         .add("target", instance)
         .add("fingerprint", Core::toHex(fingerprint))
         .logWarning();
-    m_state.quarantine.noteCrash({ fingerprint, instance }, Core::monotonicNow());
-    m_reportCrash(fingerprint, instance);
+    Retry::CrashReport const report { fingerprint, instance };
+    m_state.quarantine.noteCrash(report, crashedAt);
+    m_crashReporter.report(report, crashedAt);
 }
 
 awaitable<void> EntryHandler::deliver(EntryRequest& request)
--- a/Services/comfreysaild/EntryHandler.h
+++ b/Services/comfreysaild/EntryHandler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "CrashReporter.h"
 #include "EntryMetrics.h"
 #include "EntryState.h"
 #include "TargetExchange.h"
@@ -11,10 +12,8 @@
 /// Forwards callers' requests to targets that registered themselves in the platform's store. Not thread safe.
 class EntryHandler {
 public:
-    using ReportCrash = std::function<void(uint64_t fingerprint, std::string targetInstance)>;
-
     EntryHandler(
-        boost::asio::io_context&, HTTP::ConnectionPool&, LoadProber&, EntryState&, std::string ownZone, ReportCrash);
+        boost::asio::io_context&, HTTP::ConnectionPool&, LoadProber&, EntryState&, std::string ownZone, CrashReporter&);
 
     /// Serves one request: responds to the caller or closes its connection.
     HTTP::awaitable<void> handle(HTTP::ServerExchange&);
@@ -31,8 +30,11 @@
     void noteSend(EntryRequest&, Traffic::RegisteredTarget const&);
     void noteEvidence(EntryRequest const&, Traffic::RegisteredTarget const&, Traffic::ResponseVerdict);
     void noteFault(EntryRequest const&, Traffic::RegisteredTarget const&, Traffic::ResponseVerdict);
-    /// Probes a target whose connection was lost during a request, and reports a crash if the target does not respond.
-    HTTP::awaitable<void> confirmCrash(uint64_t fingerprint, Traffic::RegisteredTarget, std::string healthPath);
+    void noteAnswered(EntryRequest&);
+    /// Probes a target whose connection was lost during a request, and reports a crash if the target does not respond
+    /// and the request was not answered by another target meanwhile.
+    HTTP::awaitable<void> confirmCrash(uint64_t fingerprint, Traffic::RegisteredTarget, std::string healthPath,
+        std::shared_ptr<bool const> wasAnswered);
     Core::Duration retryAdvice(EntryRequest const&, Core::Instant now);
     double uniform();
 
@@ -43,7 +45,7 @@
     std::string m_ownZone;
     TargetSelector m_selector;
     TargetExchange m_exchange;
-    ReportCrash m_reportCrash;
+    CrashReporter& m_crashReporter;
     std::mt19937_64 m_generator { std::random_device {}() };
 };
 
--- a/Services/comfreysaild/EntryRequest.h
+++ b/Services/comfreysaild/EntryRequest.h
@@ -44,6 +44,8 @@
     bool isLastTargetInOwnZone { false }; ///< The last target is in this daemon's availability zone.
     bool wasConnectionLost { false };     ///< The last send lost its connection before a response.
     bool mayHaveRun { false };            ///< A target may have executed the request.
+    /// Set after a lost connection: whether a target answered a later send. Outlives the request.
+    std::shared_ptr<bool> wasAnsweredAfterLoss;
     std::vector<std::string> triedTargets;
     Core::Instant sentAt {};         ///< Time of the last send; zero if no connection was established.
     bool isQueuedAtTarget { false }; ///< The last send went to a target without a free slot and queued there.
--- a/Services/comfreysaild/EntryState.h
+++ b/Services/comfreysaild/EntryState.h
@@ -33,6 +33,7 @@
     }
 
     Traffic::SharedRows sharedRows;
+    Traffic::StoreClock storeClock;
     Core::Instant rowsReadAt {}; ///< When this or another daemon read the shared rows from the store.
     std::shared_ptr<Traffic::TrafficPlan const> plan; ///< nullptr until the first plan arrives.
     uint64_t planRowRevision { 0 };                   ///< Revision of the store row that holds the plan.
@@ -53,7 +54,6 @@
     std::map<std::string, Traffic::QueueingEstimate, std::less<>> queueingEstimates; ///< By route.
     std::set<std::string, std::less<>> servicesWithoutLoadReports; ///< Their targets do not report load.
     Retry::Quarantine quarantine { { .crashesUntilRefused = 3 } };
-    uint64_t newestCrashRevision { 0 }; ///< Revision of the newest crash row that was applied.
     unsigned activeRequests { 0 };
     bool isShuttingDown { false };
     Telemetry::MetricRegistry metrics;
--- a/Services/comfreysaild/Relay.cpp
+++ b/Services/comfreysaild/Relay.cpp
@@ -34,9 +34,15 @@
 constexpr size_t maxRowsBytes = 2 * maxResponseBytesInFlight;
 // A greater age is invalid, and could overflow when it is converted to microseconds.
 constexpr std::chrono::duration<uint64_t, std::milli> maxAge = std::chrono::hours(24);
+// A greater time of the store's clock is invalid, for the same reason.
+constexpr std::chrono::milliseconds maxStoreTime = std::chrono::hours(24) * 365 * 300;
 // How often all evidence is sent, and not only what has changed: the other daemon may not have known the move before.
 constexpr auto fullEvidenceInterval = 2s;
 
+// The store's time when the response was made, in milliseconds. Responses of older builds and of daemons that did not
+// hear of it yet lack it.
+constexpr char const* storeTimeField = "store_ms";
+
 // Names the compression of a row, in requests and in responses.
 constexpr char const* compressedField = "zstd";
 // Names the hash of the earlier text that a compressed row refers to.
@@ -224,6 +230,12 @@
         return RelayResult::Failed;
     }
     auto const age = std::chrono::milliseconds(ageMilliseconds) + transferTime;
+    if (auto const* const storeTime = field(storeTimeField)) {
+        auto const milliseconds = storeTime->to_number<int64_t>(error);
+        bool const isInRange = milliseconds >= -maxStoreTime.count() && milliseconds <= maxStoreTime.count();
+        if (!error && isInRange)
+            m_state.storeClock.note(std::chrono::milliseconds(milliseconds) + transferTime, Core::monotonicNow());
+    }
     Traffic::SharedChanges changes;
     for (auto const& revision : revisions->get_object())
         changes.revisions[std::string(revision.key())] = unsignedOf(revisions->get_object(), revision.key());
@@ -305,11 +317,14 @@
     boost::json::array complete;
     for (auto const& table : changes.completeTables)
         complete.push_back(boost::json::string(table));
-    auto const age = std::chrono::duration_cast<std::chrono::milliseconds>(Core::monotonicNow() - m_state.rowsReadAt);
-    return boost::json::serialize(
-        boost::json::object { { "age_ms", age.count() }, { "revisions", jsonOf(changes.revisions) },
-            { "digests", jsonOf(changes.digests) }, { "complete", std::move(complete) }, { "rows", std::move(allRows) },
-            { "verdicts", jsonOf(m_state.verdicts) } });
+    auto const now = Core::monotonicNow();
+    auto const age = std::chrono::duration_cast<std::chrono::milliseconds>(now - m_state.rowsReadAt);
+    boost::json::object response { { "age_ms", age.count() }, { "revisions", jsonOf(changes.revisions) },
+        { "digests", jsonOf(changes.digests) }, { "complete", std::move(complete) }, { "rows", std::move(allRows) },
+        { "verdicts", jsonOf(m_state.verdicts) } };
+    if (auto const storeTime = m_state.storeClock.at(now))
+        response[storeTimeField] = std::chrono::duration_cast<std::chrono::milliseconds>(*storeTime).count();
+    return boost::json::serialize(response);
 }
 
 bool Relay::knowsVerdicts(std::string_view verdictText) const
--- a/Services/comfreysaild/RowAdopter.cpp
+++ b/Services/comfreysaild/RowAdopter.cpp
@@ -20,6 +20,7 @@
 
 RowAdopter::RowAdopter(EntryState& state)
     : m_state(state)
+    , m_crashRows(state)
 {
 }
 
@@ -74,28 +75,10 @@
     }
     adoptMoves(moves);
     adoptResults();
-    adoptCrashes();
+    m_crashRows.adopt(Core::monotonicNow());
     m_state.retries.setDaemons(m_state.sharedRows.table(Platform::Table::members).size());
 }
 
-void RowAdopter::adoptCrashes()
-{
-    auto newest = m_state.newestCrashRevision;
-    for (auto const& [key, text] : m_state.sharedRows.table(Platform::Table::crashes)) {
-        auto const row = storeRow(key, text);
-        // Each crash counts once, even if the quarantine has since forgotten it because the request was answered.
-        if (row.revision <= m_state.newestCrashRevision)
-            continue;
-        newest = std::max(newest, row.revision);
-        uint64_t fingerprint = 0;
-        auto const dash = key.find('-');
-        auto const [end, error] = std::from_chars(key.data(), key.data() + std::min(dash, key.size()), fingerprint, 16);
-        if (dash != std::string::npos && error == std::errc())
-            m_state.quarantine.noteCrash({ fingerprint, key.substr(dash + 1) }, Core::monotonicNow());
-    }
-    m_state.newestCrashRevision = newest;
-}
-
 void RowAdopter::adoptPlan(StoreRow const& row)
 {
     if (m_state.planRowRevision == row.revision)
--- a/Services/comfreysaild/RowAdopter.h
+++ b/Services/comfreysaild/RowAdopter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "CrashRows.h"
 #include "EntryState.h"
 #include <platform/Platform.h>
 
@@ -20,6 +21,8 @@
 
     /// Applies the operators' rows, the results of moves, the verdicts and the crashes.
     void adoptDecisions();
+    /// The keys of the crash rows that have expired.
+    std::vector<std::string> expiredCrashKeys(Core::Instant now) const { return m_crashRows.expiredKeys(now); }
     /// Applies to the directory what has changed in the targets since the last call. `now`: the current time.
     void adoptTargets(Core::Instant now);
 
@@ -27,10 +30,10 @@
     void adoptPlan(Platform::StoreRow const&);
     void adoptMoves(std::vector<Traffic::VersionMove> const&);
     void adoptResults();
-    void adoptCrashes();
     bool isFirstRefusal(std::string const& key, uint64_t revision);
 
     EntryState& m_state;
+    CrashRows m_crashRows;
     std::optional<uint64_t> m_adoptedTargetsVersion; ///< Version of the shared rows whose targets are applied.
     std::map<std::string, uint64_t, std::less<>>
         m_loggedInvalidRows; ///< Revisions of invalid rows that were logged, by key.
--- a/Services/comfreysaild/StoreFollower.cpp
+++ b/Services/comfreysaild/StoreFollower.cpp
@@ -94,13 +94,14 @@
 }
 
 StoreFollower::StoreFollower(asio::io_context& context, StoreReader& reader, Relay& relay, RowAdopter& adopter,
-    MoveController& moveController, EntryState& state, Traffic::RelayMember self, std::vector<std::string> seeds,
-    bool isFirstStart)
+    MoveController& moveController, CrashReporter& crashReporter, EntryState& state, Traffic::RelayMember self,
+    std::vector<std::string> seeds, bool isFirstStart)
     : m_context(context)
     , m_reader(reader)
     , m_relay(relay)
     , m_adopter(adopter)
     , m_moveController(moveController)
+    , m_crashReporter(crashReporter)
     , m_state(state)
     , m_self(std::move(self))
     , m_seeds(std::move(seeds))
@@ -338,6 +339,10 @@
     bool const hasOperators = co_await m_reader.readTable(Platform::Table::operators);
     if (!hasOperators)
         co_return false;
+    // Before this daemon serves requests, it has to know which of them crash targets. It serves without these rows if
+    // just they cannot be read.
+    if (!m_state.hasReadTargets)
+        co_await m_reader.readTable(Platform::Table::crashes);
     bool const hasTargets = co_await m_reader.readTable(Platform::Table::targets);
     if (!hasTargets)
         co_return false;
@@ -351,6 +356,7 @@
         co_await m_reader.readTable(Platform::Table::members);
         co_await m_reader.readTable(Platform::Table::crashes);
         adoptRows();
+        m_crashReporter.remove(m_adopter.expiredCrashKeys(Core::monotonicNow()));
     }
     co_return true;
 }
--- a/Services/comfreysaild/StoreFollower.h
+++ b/Services/comfreysaild/StoreFollower.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "CrashReporter.h"
 #include "MoveController.h"
 #include "Relay.h"
 #include "StoreReader.h"
@@ -11,8 +12,8 @@
 /// directly or through further daemons. They read the store themselves only if no other daemon has fresh rows.
 class StoreFollower {
 public:
-    StoreFollower(boost::asio::io_context&, StoreReader&, Relay&, RowAdopter&, MoveController&, EntryState&,
-        Traffic::RelayMember self, std::vector<std::string> seeds, bool isFirstStart);
+    StoreFollower(boost::asio::io_context&, StoreReader&, Relay&, RowAdopter&, MoveController&, CrashReporter&,
+        EntryState&, Traffic::RelayMember self, std::vector<std::string> seeds, bool isFirstStart);
 
     void start();
     void setSeeds(std::vector<std::string> seeds) { m_seeds = std::move(seeds); }
@@ -39,6 +40,7 @@
     Relay& m_relay;
     RowAdopter& m_adopter;
     MoveController& m_moveController;
+    CrashReporter& m_crashReporter;
     EntryState& m_state;
     Traffic::RelayMember m_self;
     std::vector<std::string> m_seeds;
--- a/Services/comfreysaild/StoreReader.cpp
+++ b/Services/comfreysaild/StoreReader.cpp
@@ -55,6 +55,8 @@
         }
         noteStoreCall(table, true, "");
         auto const& answer = valueOf(page);
+        if (answer.storeTime)
+            m_state.storeClock.note(*answer.storeTime, Core::monotonicNow());
         // Later pages may be newer, so all rows are at least as new as the first page's revision.
         if (pages == 0)
             m_lastRevision = answer.storeRevision;
@@ -95,6 +97,12 @@
     if (isConditional)
         transaction.conditions.push_back(row);
     transaction.puts.push_back(std::move(row));
+    bool const isWritten = co_await write(table, std::move(transaction));
+    co_return isWritten;
+}
+
+awaitable<bool> StoreReader::write(std::string_view table, Platform::RowTransaction transaction)
+{
     auto const deadline = Core::monotonicNow() + callTimeout;
     auto const written = co_await m_client.write(std::move(transaction), deadline);
     noteStoreCall(table, !isError(written), isError(written) ? errorOf(written).detail : "");
--- a/Services/comfreysaild/StoreReader.h
+++ b/Services/comfreysaild/StoreReader.h
@@ -20,6 +20,8 @@
     /// Writes a row. If `isConditional`, only if the store's row still has the revision of the given one. True if the
     /// row was written.
     HTTP::awaitable<bool> write(Platform::StoreRow, bool isConditional);
+    /// Applies changes to rows of one table. True if they were applied.
+    HTTP::awaitable<bool> write(std::string_view table, Platform::RowTransaction);
 
 private:
     void noteStoreCall(std::string_view table, bool isReachable, std::string_view reason);
--- a/Tests/Fakes/FakePlatform/PlatformCalls.cpp
+++ b/Tests/Fakes/FakePlatform/PlatformCalls.cpp
@@ -2,6 +2,7 @@
 #include <boost/json.hpp>
 #include <boost/url/decode_view.hpp>
 #include <charconv>
+#include <chrono>
 
 namespace json = boost::json;
 
@@ -17,6 +18,11 @@
 
 Answer badRequest(std::string const& reason) { return { 400, json::serialize(json::object { { "error", reason } }) }; }
 
+double steadySeconds()
+{
+    return std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch()).count();
+}
+
 Answer ok(json::object const& object) { return { 200, json::serialize(object) }; }
 
 std::string decode(std::string_view text)
@@ -164,7 +170,7 @@
     for (auto const& row : m_tables.rows(range, hasMore))
         rows.emplace_back(rowJson(row));
     return ok({ { "rows", std::move(rows) }, { "has-more", hasMore }, { "resource-version", m_tables.revision() },
-        { "now-s", 0.0 } });
+        { "now-s", steadySeconds() } });
 }
 
 std::optional<Answer> PlatformCalls::readFeed(std::string_view query, bool mustAnswer) const
@@ -185,7 +191,8 @@
             row["tombstone"] = true;
         rows.emplace_back(std::move(row));
     }
-    return ok({ { "rows", std::move(rows) }, { "resource-version", m_tables.revision() }, { "now-s", 0.0 } });
+    return ok(
+        { { "rows", std::move(rows) }, { "resource-version", m_tables.revision() }, { "now-s", steadySeconds() } });
 }
 
 Answer PlatformCalls::transact(std::string const& body, CallerRole role)
@@ -211,7 +218,7 @@
     std::vector<StoreRow> conflicts;
     auto const revision = m_tables.transact(transaction, conflicts);
     if (revision)
-        return ok({ { "resource-version", *revision }, { "now-s", 0.0 } });
+        return ok({ { "resource-version", *revision }, { "now-s", steadySeconds() } });
     ++m_conflicts;
     json::array rows;
     for (auto const& row : conflicts)
--- a/Tests/LibRetry/TestQuarantine.cpp
+++ b/Tests/LibRetry/TestQuarantine.cpp
@@ -3,6 +3,7 @@
 
 using namespace Comfreysail;
 using namespace Comfreysail::Retry;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -42,7 +43,7 @@
 {
     quarantine.noteCrash({ poison, "target-1@1" }, at(0));
     quarantine.noteCrash({ innocent, "target-1@1" }, at(0));
-    quarantine.noteAnswered(innocent, at(1));
+    CHECK(quarantine.noteAnswered(innocent, at(1)));
     quarantine.noteCrash({ poison, "target-2@1" }, at(2));
     quarantine.noteCrash({ innocent, "target-2@1" }, at(2));
     CHECK(quarantine.isRefused(poison, at(2)));
@@ -54,10 +55,43 @@
 {
     quarantine.noteCrash({ poison, "target-1@1" }, at(0));
     quarantine.noteCrash({ poison, "target-2@1" }, at(0));
-    quarantine.noteAnswered(poison, at(1));
+    CHECK_FALSE(quarantine.noteAnswered(poison, at(1)));
     CHECK(quarantine.isRefused(poison, at(1)));
 }
 
+// Reports are read from the store in any order. An older crash must not make a fingerprint expire sooner.
+TEST_CASE_METHOD(QuarantineFixture, "Quarantine_OlderCrashReportedLater_KeepsTheTimeOfTheLastOne")
+{
+    quarantine.noteCrash({ poison, "target-2@1" }, at(500));
+    quarantine.noteCrash({ poison, "target-1@1" }, at(-90));
+    CHECK(quarantine.isRefused(poison, at(1000)));
+    CHECK_FALSE(quarantine.isRefused(poison, at(1100)));
+}
+
+// Another daemon found that the request crashes no target, and removed its reports.
+TEST_CASE_METHOD(QuarantineFixture, "Quarantine_ReportWithdrawn_CountsNoMore")
+{
+    quarantine.noteCrash({ poison, "target-1@1" }, at(0));
+    quarantine.noteCrash({ poison, "target-2@1" }, at(0));
+    quarantine.withdraw({ poison, "target-2@1" });
+    quarantine.withdraw({ innocent, "target-2@1" });
+    CHECK(quarantine.isSuspect(poison, at(1)));
+    quarantine.withdraw({ poison, "target-1@1" });
+    CHECK(quarantine.size() == 0);
+}
+
+// Other writers' rows and those of older builds are in the same table. None of them may be taken for another report.
+TEST_CASE("CrashRow_AnyRow_IsParsedOrRefused")
+{
+    CrashReport const report { 0xab12, "target-1@17" };
+    CHECK(parseCrashRow(crashRowKey(report), crashRowValue(90s)) == CrashRow { report, 90s });
+    CHECK(parseCrashRow(crashRowKey(report), crashRowValue(-90s)) == CrashRow { report, -90s });
+    for (auto const* value : { "", "soon", "12.5", "99999999999999999", "1e3", "5 " })
+        CHECK(parseCrashRow(crashRowKey(report), value) == CrashRow { report, std::nullopt });
+    for (auto const* key : { "", "-", "ab12", "zz-target", "ab12x-target", "10000000000000000-target" })
+        CHECK_FALSE(parseCrashRow(key, "1"));
+}
+
 // If a fingerprint were kept forever, the request would still be refused after its fault was corrected.
 TEST_CASE_METHOD(QuarantineFixture, "Quarantine_RetentionPassed_RemovesFingerprint")
 {
--- a/Tests/comfreysaild/EntryFixture.cpp
+++ b/Tests/comfreysaild/EntryFixture.cpp
@@ -77,6 +77,23 @@
     writeRow(std::string(Platform::Table::members), name, text);
 }
 
+void EntryFixture::writeCrashRow(std::string const& key, std::string const& value)
+{
+    writeRow(std::string(Platform::Table::crashes), key, value);
+}
+
+std::vector<std::string> EntryFixture::storeKeys(std::string const& table)
+{
+    auto const request = Platform::rowsRequest({ table, "", "", "", 0 }, {});
+    auto const page = Platform::decodeRowPage(callPlatform(m_controlPort, "GET", request.target, "").body);
+    std::vector<std::string> keys;
+    if (isError(page))
+        return keys;
+    for (auto const& row : valueOf(page).rows)
+        keys.push_back(row.key);
+    return keys;
+}
+
 void EntryFixture::writeOperatorRow(std::string const& key, std::string const& value) { writeRow("op", key, value); }
 
 void EntryFixture::removeOperatorRow(std::string const& key)
--- a/Tests/comfreysaild/EntryFixture.h
+++ b/Tests/comfreysaild/EntryFixture.h
@@ -40,6 +40,10 @@
     void writePlan(int version, std::string const& additionalRoutes = {});
     /// Adds a row to the member list. `text` is the daemon's endpoint and its share of a processor core.
     void writeMember(std::string const& name, std::string const& text);
+    /// Adds a row to the table of crash reports. `value` is the time of the crash by the store's clock, in ms.
+    void writeCrashRow(std::string const& key, std::string const& value);
+    /// The keys of all rows of a table in the store.
+    std::vector<std::string> storeKeys(std::string const& table);
     void writeOperatorRow(std::string const& key, std::string const& value);
     void removeOperatorRow(std::string const& key);
     /// The value of a row in the store, or an empty string if there is none.
@@ -50,6 +54,8 @@
     DaemonProcess& startDaemon(DaemonOptions options = {});
     /// Ends all daemons, and then all targets.
     void stopAll();
+    /// Ends all daemons at once, without a planned stop.
+    void killDaemons() { m_daemons.clear(); }
     DaemonProcess& daemon() { return *m_daemons.front(); }
 
     uint16_t platformPort() const { return m_platformPort; }
--- /dev/null
+++ b/Tests/comfreysaild/TestEntryCrashingRequests.cpp
@@ -0,0 +1,233 @@
+#include "EntryFixture.h"
+
+#include <LibRetry/Retry.h>
+#include <array>
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <set>
+#include <thread>
+
+using namespace Comfreysail;
+using namespace Comfreysail::Tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::string const lookup = "/read/today";
+std::string const crashTable = "comfreysail-crashes";
+
+/// The time by the fake platform's clock, which is the steady clock of this machine.
+Core::Duration storeNow() { return Core::monotonicNow().time_since_epoch(); }
+
+/// A fixture whose targets fail on demand: they close their connections and respond to nothing.
+class CrashFixture : public EntryFixture {
+public:
+    /// Adds targets that take `workTime` for a lookup and crash when they get the request /read/poison.
+    void addTargets(unsigned count, std::chrono::milliseconds workTime)
+    {
+        for (unsigned number = 1; number <= count; ++number) {
+            auto const index = m_crashableTargets.size();
+            auto& target
+                = addTarget("t" + std::to_string(number), [this, index, workTime](auto& connection, auto& head) {
+                      return respond(index, workTime, connection, head);
+                  });
+            m_crashableTargets.push_back(&target);
+        }
+    }
+
+    /// Crashes a target that runs a request and was not crashed before. Returns false if there is none.
+    bool crashWorkingTarget()
+    {
+        for (size_t index = 0; index < m_crashableTargets.size(); ++index) {
+            if (m_working[index] == 0 || !m_crashed.insert(index).second)
+                continue;
+            m_crashableTargets[index]->isDown = true;
+            return true;
+        }
+        return false;
+    }
+
+    void restartTargets()
+    {
+        for (auto* const target : m_crashableTargets)
+            target->isDown = false;
+    }
+
+    unsigned runs() const
+    {
+        unsigned sum = 0;
+        for (auto const* const target : m_crashableTargets)
+            sum += target->runs;
+        return sum;
+    }
+
+    DaemonProcess& startNamed(std::string const& name, std::vector<uint16_t> seedPorts = {})
+    {
+        DaemonOptions options;
+        options.vmName = name;
+        options.seedPorts = std::move(seedPorts);
+        return startDaemon(options);
+    }
+
+    /// Writes three reports that targets crashed while they ran the lookup.
+    void reportThreeCrashes(std::string const& value)
+    {
+        auto const fingerprint = Retry::fingerprintOf({ "orders", "GET", lookup, "" });
+        for (auto const* instance : { "a@1", "b@1", "c@1" })
+            writeCrashRow(Retry::crashRowKey({ fingerprint, instance }), value);
+    }
+
+    /// Sends the request until it is refused. Returns the number of targets that it has crashed.
+    unsigned crashTargetsUntilRefused(std::string const& path)
+    {
+        auto const before = runs();
+        for (int count = 0; count < 6 && call("GET", path).field("Comfreysail-Error") != "request_quarantined"; ++count)
+            std::this_thread::sleep_for(400ms);
+        return runs() - before;
+    }
+
+private:
+    bool respond(size_t index, std::chrono::milliseconds workTime, RawConnection& connection, std::string const& head)
+    {
+        auto& target = *m_crashableTargets[index];
+        if (head.starts_with("GET /read/poison "))
+            target.isDown = true;
+        ++m_working[index];
+        auto const end = std::chrono::steady_clock::now() + workTime;
+        while (!target.isDown && std::chrono::steady_clock::now() < end)
+            std::this_thread::sleep_for(1ms);
+        --m_working[index];
+        if (target.isDown) {
+            connection.reset();
+            return false;
+        }
+        return connection.send(signedResponse(head, "whole"));
+    }
+
+    std::vector<EntryTarget*> m_crashableTargets;
+    std::array<std::atomic<unsigned>, 8> m_working {}; ///< Requests that run at each target.
+    std::set<size_t> m_crashed;
+};
+
+/// Callers that each send the lookup again and again, one at a time.
+class LookupCallers {
+public:
+    LookupCallers(DaemonProcess const& daemon, unsigned count)
+    {
+        for (unsigned number = 0; number < count; ++number) {
+            m_threads.emplace_back([&daemon, number](std::stop_token const& stop) {
+                for (unsigned sent = 0; !stop.stop_requested(); ++sent) {
+                    auto connection = daemon.connect();
+                    connection.send(EntryFixture::requestText(
+                        "GET", lookup, "c" + std::to_string(number) + "n" + std::to_string(sent)));
+                    connection.readResponse();
+                }
+            });
+        }
+    }
+
+private:
+    std::vector<std::jthread> m_threads;
+};
+
+}
+
+// Guards against a lookup that is refused for ten minutes after a restart: it was in flight at three crashes of targets
+// that it did not cause, and the new daemons counted the three reports without the responses that it got in between.
+TEST_CASE_METHOD(CrashFixture, "Entry_LookupInFlightAtThreeCrashes_IsServedAfterARestartOfAllDaemons")
+{
+    StopAtScopeEnd const stop(*this);
+    addTargets(5, 150ms);
+    auto& first = startNamed("entry-1");
+    startNamed("entry-2", { first.controlPort() });
+    REQUIRE(eventually([&] { return storeKeys("comfreysail-members").size() == 2; }, 5s));
+    for (int crashes = 0; crashes < 3; ++crashes) {
+        LookupCallers const callers(first, 10);
+        REQUIRE(eventually([&] { return crashWorkingTarget(); }));
+        std::this_thread::sleep_for(300ms);
+        restartTargets();
+        std::this_thread::sleep_for(1s);
+    }
+    std::this_thread::sleep_for(3s);
+    for (int count = 0; count < 5; ++count)
+        CHECK(call("GET", lookup).status() == 200);
+    killDaemons();
+    startNamed("entry-1");
+    for (int count = 0; count < 5; ++count)
+        CHECK(call("GET", lookup).status() == 200);
+}
+
+// The counterpart: a request that does crash each target that runs it crashes no fourth one, neither before nor after
+// all daemons have restarted.
+TEST_CASE_METHOD(CrashFixture, "Entry_RequestThatCrashesTargets_StaysRefusedAfterARestartOfAllDaemons")
+{
+    StopAtScopeEnd const stop(*this);
+    addTargets(6, 0ms);
+    auto& first = startNamed("entry-1");
+    startNamed("entry-2", { first.controlPort() });
+    CHECK(crashTargetsUntilRefused("/read/poison") == 3);
+    REQUIRE(eventually([&] { return storeKeys(crashTable).size() == 3; }));
+    restartTargets();
+    auto const before = runs();
+    for (int restart = 0; restart < 2; ++restart) {
+        killDaemons();
+        auto& reader = startNamed("entry-1");
+        auto& follower = startNamed("entry-2", { reader.controlPort() });
+        for (auto const* const daemon : { &reader, &follower }) {
+            auto connection = daemon->connect();
+            connection.send(requestText("GET", "/read/poison", "r" + std::to_string(restart)));
+            auto const response = connection.readResponse();
+            CHECK(response.status() == 503);
+            CHECK(response.field("Comfreysail-Error") == "request_quarantined");
+        }
+    }
+    CHECK(runs() == before);
+    CHECK(call("GET", lookup).status() == 200);
+}
+
+// Reports count for ten minutes from the crash, not from the start of a daemon that reads them, and are removed then.
+TEST_CASE_METHOD(CrashFixture, "Entry_ReportsFromBeforeTheStart_CountFromTheirOwnTime")
+{
+    StopAtScopeEnd const stop(*this);
+    addTargets(2, 0ms);
+    SECTION("they have expired")
+    {
+        reportThreeCrashes(Retry::crashRowValue(storeNow() - 11min));
+        startNamed("entry-1");
+        CHECK(call("GET", lookup).status() == 200);
+        CHECK(eventually([&] { return storeKeys(crashTable).empty(); }, 6s));
+    }
+    SECTION("they are recent")
+    {
+        reportThreeCrashes(Retry::crashRowValue(storeNow() - 9min));
+        startNamed("entry-1");
+        CHECK(call("GET", lookup).status() == 503);
+        CHECK(runs() == 0);
+    }
+    SECTION("they do not say when, as those of older builds")
+    {
+        reportThreeCrashes("");
+        startNamed("entry-1");
+        CHECK(call("GET", lookup).status() == 200);
+    }
+}
+
+// A daemon that gets its rows from another one, and does not reach the store, dates reports by the time of the store
+// too.
+TEST_CASE_METHOD(CrashFixture, "Entry_ReportsFromAnotherDaemon_CountFromTheirOwnTime")
+{
+    StopAtScopeEnd const stop(*this);
+    addTargets(2, 0ms);
+    bool const isRecent = GENERATE(false, true);
+    CAPTURE(isRecent);
+    reportThreeCrashes(Retry::crashRowValue(storeNow() - (isRecent ? 1min : 11min)));
+    auto& reader = startNamed("entry-1");
+    DaemonOptions options;
+    options.vmName = "entry-2";
+    options.platformPort = 9; // Nothing listens there.
+    options.seedPorts = { reader.controlPort() };
+    auto const& follower = startDaemon(options);
+    auto connection = follower.connect();
+    connection.send(requestText("GET", lookup, "f1"));
+    CHECK(connection.readResponse().status() == (isRecent ? 503 : 200));
+}
