comfreysaild: Repeat crash reports until the store takes them

What callers see: a request that crashed three targets while the store was down is refused by the daemon that sent it, and by no other, and after a restart by none.

Cause: the row of a crash was written once, and a failed write was only logged.

Change: CrashReporter keeps the changes that the store has not taken and repeats them with a growing delay.

--- a/Services/comfreysaild/CrashReporter.cpp
+++ b/Services/comfreysaild/CrashReporter.cpp
@@ -22,6 +22,8 @@
 // A frequent request is answered by many daemons at once after a crash. A random delay up to this lets most of them
 // find that another one has removed the rows.
 constexpr auto maxRemovalDelay = 1s;
+constexpr auto minRetryDelay = 1s;
+constexpr auto maxRetryDelay = 5s;
 
 }
 
@@ -88,6 +90,7 @@
     std::uniform_real_distribution<double> fraction(0, 1);
     auto const randomUpTo
         = [&](Duration longest) { return std::chrono::duration_cast<Duration>(longest * fraction(m_generator)); };
+    Duration retryDelay = minRetryDelay;
     while (!m_pending.empty()) {
         bool const hasReport = std::ranges::any_of(m_pending, [](auto const& item) { return item.second.has_value(); });
         if (!hasReport)
@@ -102,6 +105,12 @@
             .add("removals", changes.deletes.size())
             .add("written", isWritten)
             .logInfo();
+        if (!isWritten) {
+            co_await pause(retryDelay + randomUpTo(retryDelay));
+            retryDelay = std::min<Duration>(2 * retryDelay, maxRetryDelay);
+            continue;
+        }
+        retryDelay = minRetryDelay;
         // A change that replaced the written one meanwhile is still to be made.
         std::erase_if(m_pending, [&](auto const& item) {
             auto const& rows = item.second ? changes.puts : changes.deletes;
--- a/Services/comfreysaild/CrashReporter.h
+++ b/Services/comfreysaild/CrashReporter.h
@@ -7,7 +7,9 @@
 
 namespace Comfreysail::Daemon {
 
-/// Writes crash reports of this daemon to the store, and removes the rows of reports that do not hold any more.
+/// Writes crash reports of this daemon to the store, and removes the rows of reports that do not hold any more. Changes
+/// that the store does not take are tried again until it does, so that an outage neither hides a request that crashes
+/// targets nor leaves one suspect that does not.
 class CrashReporter {
 public:
     CrashReporter(boost::asio::io_context&, StoreReader&, EntryState&);
--- a/Tests/comfreysaild/TestEntryCrashingRequests.cpp
+++ b/Tests/comfreysaild/TestEntryCrashingRequests.cpp
@@ -231,3 +231,16 @@
     connection.send(requestText("GET", lookup, "f1"));
     CHECK(connection.readResponse().status() == (isRecent ? 503 : 200));
 }
+
+// Guards against crashes that no other daemon hears of, and none after a restart, because the store was down when they
+// happened.
+TEST_CASE_METHOD(CrashFixture, "Entry_CrashesWhileTheStoreIsDown_AreReportedWhenItIsBack")
+{
+    StopAtScopeEnd const stop(*this);
+    addTargets(6, 0ms);
+    startNamed("entry-1");
+    setFaults(R"({"mode":"busy"})");
+    CHECK(crashTargetsUntilRefused("/read/poison") == 3);
+    setFaults(R"({"mode":"up"})");
+    CHECK(eventually([&] { return storeKeys(crashTable).size() == 3; }, 12s));
+}
