LibRetry: Clear a refused request that is answered after its last crash

What callers see: three targets fail at the same moment while a frequent lookup is in flight on each. The daemon refuses the lookup for ten minutes, although other targets answer its retries.

Cause: a response clears a suspect only. When targets fail together, the third report comes before any response can.

Change: a response to a send that began after the last crash clears a refused request as well. Quarantine's function takes the time of the send; Quarantine_RefusedAnswered_StaysRefused states the case that its comment names, a late response to an earlier send, and still expects that the request stays refused.

--- a/Libraries/LibRetry/Quarantine.cpp
+++ b/Libraries/LibRetry/Quarantine.cpp
@@ -30,9 +30,10 @@
         erase(report.fingerprint);
 }
 
-bool Quarantine::noteAnswered(uint64_t fingerprint, Core::Instant now)
+bool Quarantine::noteAnswered(uint64_t fingerprint, Core::Instant sentAt, Core::Instant now)
 {
-    if (!isSuspect(fingerprint, now))
+    auto const* entry = findUnexpired(fingerprint, now);
+    if (!entry || (isRefused(fingerprint, now) && sentAt <= entry->lastCrash))
         return false;
     erase(fingerprint);
     return true;
--- a/Libraries/LibRetry/Quarantine.h
+++ b/Libraries/LibRetry/Quarantine.h
@@ -39,7 +39,8 @@
 /// suspect; one that was in flight at crashes of two target instances is refused until the retention time has passed.
 ///
 /// A suspect that gets a response is cleared: it merely shared a target with the request that crashed it. Without this
-/// rule, a frequent request would be refused after two crashes that it did not cause.
+/// rule, a frequent request would be refused after two crashes that it did not cause. A refused one is cleared by the
+/// response to a send that began after its last crash: it was in flight on several targets that failed together.
 class Quarantine {
 public:
     explicit Quarantine(QuarantineLimits = {});
@@ -51,9 +52,9 @@
     /// Withdraws a report, because another daemon found that the request crashes no target or the report has expired.
     void withdraw(CrashReport const&);
 
-    /// Clears a suspect fingerprint that got a response. A refused fingerprint stays refused. Returns true if the
-    /// fingerprint was cleared.
-    bool noteAnswered(uint64_t fingerprint, Core::Instant now);
+    /// Clears a suspect fingerprint that got a response, and a refused one whose send began after its last crash.
+    /// Returns true if the fingerprint was cleared.
+    bool noteAnswered(uint64_t fingerprint, Core::Instant sentAt, Core::Instant now);
 
     bool isRefused(uint64_t fingerprint, Core::Instant now) const;
 
--- a/Services/comfreysaild/EntryHandler.cpp
+++ b/Services/comfreysaild/EntryHandler.cpp
@@ -275,7 +275,7 @@
 {
     if (request.wasAnsweredAfterLoss)
         *request.wasAnsweredAfterLoss = true;
-    if (!m_state.quarantine.noteAnswered(request.fingerprint, Core::monotonicNow()))
+    if (!m_state.quarantine.noteAnswered(request.fingerprint, request.sentAt, Core::monotonicNow()))
         return;
     Telemetry::EventLine("request_cleared")
         .add("request_id", request.requestId)
--- a/Services/comfreysaild/RetryTable.cpp
+++ b/Services/comfreysaild/RetryTable.cpp
@@ -25,10 +25,10 @@
     m_quarantine.noteCrash(report, now);
 }
 
-void RetryTable::noteAnswered(uint64_t fingerprint, Core::Instant now)
+void RetryTable::noteAnswered(uint64_t fingerprint, Core::Instant sentAt, Core::Instant now)
 {
     std::lock_guard const lock(m_mutex);
-    m_quarantine.noteAnswered(fingerprint, now);
+    m_quarantine.noteAnswered(fingerprint, sentAt, now);
 }
 
 bool RetryTable::isQuarantined(uint64_t fingerprint, Core::Instant now) const
--- a/Services/comfreysaild/RetryTable.h
+++ b/Services/comfreysaild/RetryTable.h
@@ -15,7 +15,7 @@
     Retry::RetryDecision decide(std::string const& service, Retry::FailedAttempt const&, Core::Instant now);
 
     void noteCrash(Retry::CrashReport const&, Core::Instant now);
-    void noteAnswered(uint64_t fingerprint, Core::Instant now);
+    void noteAnswered(uint64_t fingerprint, Core::Instant sentAt, Core::Instant now);
     bool isQuarantined(uint64_t fingerprint, Core::Instant now) const;
     bool isSuspect(uint64_t fingerprint, Core::Instant now) const;
     std::vector<Retry::QuarantineEntry> quarantine(Core::Instant now) const;
--- a/Services/comfreysaild/TargetSender.cpp
+++ b/Services/comfreysaild/TargetSender.cpp
@@ -271,7 +271,7 @@
         choice.dispatcher->noteSendEnded(dispatched, outcome, hint, Core::monotonicNow());
         co_return ForwardResult { Kind::Refused, errorOf(prefetched) };
     }
-    m_services.retries.noteAnswered(context.fingerprint, Core::monotonicNow());
+    m_services.retries.noteAnswered(context.fingerprint, dispatched.sentAt, Core::monotonicNow());
     auto const status = upstream.head.status;
     // The deadline of a download applies to the response head only, since the body may take much longer. The stall
     // timeout still applies to the body.
--- a/Tests/LibRetry/TestQuarantine.cpp
+++ b/Tests/LibRetry/TestQuarantine.cpp
@@ -43,7 +43,7 @@
 {
     quarantine.noteCrash({ poison, "target-1@1" }, at(0));
     quarantine.noteCrash({ innocent, "target-1@1" }, at(0));
-    CHECK(quarantine.noteAnswered(innocent, at(1)));
+    CHECK(quarantine.noteAnswered(innocent, at(0), at(1)));
     quarantine.noteCrash({ poison, "target-2@1" }, at(2));
     quarantine.noteCrash({ innocent, "target-2@1" }, at(2));
     CHECK(quarantine.isRefused(poison, at(2)));
@@ -55,10 +55,22 @@
 {
     quarantine.noteCrash({ poison, "target-1@1" }, at(0));
     quarantine.noteCrash({ poison, "target-2@1" }, at(0));
-    CHECK_FALSE(quarantine.noteAnswered(poison, at(1)));
+    CHECK_FALSE(quarantine.noteAnswered(poison, at(-1), at(1)));
     CHECK(quarantine.isRefused(poison, at(1)));
 }
 
+// A frequent request is in flight on several targets that lose their power together. The responses to its retries show
+// that it did not crash them.
+TEST_CASE_METHOD(QuarantineFixture, "Quarantine_RefusedAnsweredToALaterSend_IsCleared")
+{
+    quarantine.noteCrash({ innocent, "target-1@1" }, at(0));
+    quarantine.noteCrash({ innocent, "target-2@1" }, at(2));
+    CHECK_FALSE(quarantine.noteAnswered(innocent, at(1), at(4)));
+    CHECK(quarantine.noteAnswered(innocent, at(3), at(4)));
+    CHECK_FALSE(quarantine.isRefused(innocent, at(4)));
+    CHECK_FALSE(quarantine.noteAnswered(innocent, at(5), at(6)));
+}
+
 // Reports are read from the store in any order. An older crash must not make a fingerprint expire sooner.
 TEST_CASE_METHOD(QuarantineFixture, "Quarantine_OlderCrashReportedLater_KeepsTheTimeOfTheLastOne")
 {
--- a/Tests/comfreysaild/TestEntryCrashingRequests.cpp
+++ b/Tests/comfreysaild/TestEntryCrashingRequests.cpp
@@ -244,3 +244,20 @@
     setFaults(R"({"mode":"up"})");
     CHECK(eventually([&] { return storeKeys(crashTable).size() == 3; }, 12s));
 }
+
+// Guards against a lookup that is refused because a zone has failed with several targets that ran it at the same
+// moment: it is answered by the others.
+TEST_CASE_METHOD(CrashFixture, "Entry_LookupOnThreeTargetsThatCrashTogether_IsServed")
+{
+    StopAtScopeEnd const stop(*this);
+    addTargets(5, 250ms);
+    auto& daemon = startNamed("entry-1");
+    {
+        LookupCallers const callers(daemon, 10);
+        std::this_thread::sleep_for(500ms);
+        for (int crashes = 0; crashes < 3; ++crashes)
+            REQUIRE(eventually([&] { return crashWorkingTarget(); }, 1s));
+        std::this_thread::sleep_for(1s);
+    }
+    CHECK(call("GET", lookup).status() == 200);
+}
