comfreysaild: Continue moves after a restart instead of beginning again

What operators and callers see: all daemons restart during a move. A good version is not completed by its time limit, because its trial begins again; after several restarts a bad version has got more than its share, because each start sends it the first requests of the trial once more.

Cause: an order has no time, so each process counted from when it first read it, and it kept in memory what it had sent.

Change: the first daemon that reads an order writes the store's time to comfreysail-moves. A daemon that starts later counts from there, takes no part in the initial trial, and reads results and starts before it serves. It completes a move only after it has read the evidence of the others.

--- a/Libraries/LibTraffic/Traffic.h
+++ b/Libraries/LibTraffic/Traffic.h
@@ -10,6 +10,7 @@
 #include <LibTraffic/DirectoryEntry.h>
 #include <LibTraffic/EvidenceLedger.h>
 #include <LibTraffic/MoveJudge.h>
+#include <LibTraffic/MoveStart.h>
 #include <LibTraffic/PauseDetector.h>
 #include <LibTraffic/Placement.h>
 #include <LibTraffic/QueueingEstimate.h>
--- a/Services/comfreysaild/EntryState.cpp
+++ b/Services/comfreysaild/EntryState.cpp
@@ -1,6 +1,7 @@
 #include "EntryState.h"
 
 #include <algorithm>
+#include <limits>
 #include <platform/Names.h>
 
 namespace Comfreysail::Daemon {
@@ -72,10 +73,11 @@
         versions, [](auto const& left, auto const& right) { return left.second < right.second; });
     if (progress.state == MoveState::Completed)
         return to;
+    auto const sent = progress.missedTrialStart ? std::numeric_limits<uint64_t>::max() : progress.sentToNewVersion;
     auto const share = progress.state == MoveState::RolledBack
         ? 0
-        : Traffic::shareOfNewVersion(progress.move, now - progress.firstSeenAt, progress.sentToNewVersion,
-            state.sharedRows.table(Platform::Table::members).size(), {});
+        : Traffic::shareOfNewVersion(
+            progress.move, now - progress.startedAt, sent, state.sharedRows.table(Platform::Table::members).size(), {});
     if (old == versions.end())
         return progress.state == MoveState::RolledBack ? std::string() : to;
     return hasNew && uniform < share ? to : old->first;
--- a/Services/comfreysaild/EntryState.h
+++ b/Services/comfreysaild/EntryState.h
@@ -15,7 +15,9 @@
 /// A move between versions, as this daemon knows it.
 struct MoveInProgress {
     Traffic::VersionMove move;
-    Core::Instant firstSeenAt {};
+    Core::Instant startedAt {};      ///< When the first daemon saw the order; until that is known, when this one did.
+    bool isStartKnown { false };     ///< `startedAt` comes from the store.
+    bool missedTrialStart { false }; ///< This daemon heard of the order late, so it takes no part in the initial trial.
     Traffic::MoveState state { Traffic::MoveState::Running };
     uint64_t resultRevision { 0 };   ///< Revision of the store row with the result; 0 for none.
     uint64_t sentToNewVersion { 0 }; ///< Requests that this daemon sent to the new version.
--- a/Services/comfreysaild/MoveController.cpp
+++ b/Services/comfreysaild/MoveController.cpp
@@ -49,12 +49,50 @@
     co_await m_reader.readTable(Platform::Table::results);
     m_adopter.adoptDecisions();
     m_relay.noteChange();
+    co_await shareStarts();
     for (auto const& service : running) {
         co_await exchangeEvidence(service);
         co_await decide(service);
     }
 }
 
+awaitable<void> MoveController::shareStarts()
+{
+    auto const servicesWithoutStart = [this] {
+        std::vector<std::string> services;
+        for (auto const& [service, progress] : m_state.moves) {
+            if (progress.state == MoveState::Running && !progress.isStartKnown)
+                services.push_back(service);
+        }
+        return services;
+    };
+    if (servicesWithoutStart().empty())
+        co_return;
+    bool const isRead = co_await m_reader.readTable(Platform::Table::moveStarts);
+    m_adopter.adoptDecisions();
+    m_relay.noteChange();
+    if (!isRead)
+        co_return;
+    for (auto const& service : servicesWithoutStart())
+        co_await writeStart(service);
+}
+
+awaitable<void> MoveController::writeStart(std::string service)
+{
+    auto const found = m_state.moves.find(service);
+    auto const startedAt = found == m_state.moves.end() ? std::nullopt : m_state.storeClock.at(found->second.startedAt);
+    if (!startedAt)
+        co_return;
+    auto const& rows = m_state.sharedRows.table(Platform::Table::moveStarts);
+    auto const known = rows.find(service);
+    StoreRow row = known == rows.end() ? StoreRow {} : storeRow(service, known->second);
+    row.table = Platform::Table::moveStarts;
+    row.key = service;
+    row.value = Traffic::moveStartText({ found->second.move.orderedAt, *startedAt });
+    // Of several daemons that see the order at the same time the first one decides.
+    co_await m_reader.write(std::move(row), true);
+}
+
 awaitable<void> MoveController::exchangeEvidence(std::string service)
 {
     auto found = m_state.moves.find(service);
@@ -71,6 +109,8 @@
     auto const rows = co_await m_reader.readRows(Platform::Table::evidence, service);
     for (auto const& row : rows.value_or(std::vector<StoreRow> {}))
         m_state.evidence.merge(row.value);
+    if (rows)
+        m_orderOfReadEvidence[service] = orderedAt;
 }
 
 bool MoveController::judge(std::string const& service)
@@ -79,7 +119,7 @@
     if (found == m_state.moves.end() || found->second.state != MoveState::Running)
         return false;
     auto const& move = found->second.move;
-    auto const elapsed = Core::monotonicNow() - found->second.firstSeenAt;
+    auto const elapsed = Core::monotonicNow() - found->second.startedAt;
     auto const [newVersion, oldVersion] = m_state.evidence.total(move.orderedAt);
     bool const isTrial = Traffic::isTrial(move, elapsed, {});
     bool const isBad = Traffic::isNewVersionBad(newVersion, oldVersion, isTrial, {});
@@ -125,10 +165,11 @@
             co_await writeResult(service, progress.state);
         co_return;
     }
-    auto const elapsed = Core::monotonicNow() - progress.firstSeenAt;
+    auto const elapsed = Core::monotonicNow() - progress.startedAt;
     if (judge(service))
         co_await writeResult(service, MoveState::RolledBack);
-    else if (Traffic::isFinished(progress.move, elapsed, {}))
+    else if (Traffic::isFinished(progress.move, elapsed, {})
+        && m_orderOfReadEvidence[service] == progress.move.orderedAt)
         co_await writeResult(service, MoveState::Completed);
 }
 
--- a/Services/comfreysaild/MoveController.h
+++ b/Services/comfreysaild/MoveController.h
@@ -19,6 +19,9 @@
     void judgeMoves();
 
 private:
+    /// Reads when the running moves have started, and writes it for those of which the store does not say it yet.
+    HTTP::awaitable<void> shareStarts();
+    HTTP::awaitable<void> writeStart(std::string service);
     HTTP::awaitable<void> exchangeEvidence(std::string service);
     /// Returns true if the new version is judged bad now.
     bool judge(std::string const& service);
@@ -34,6 +37,9 @@
     std::string m_vmName;
     /// Last evidence text written to the store, by service.
     std::map<std::string, std::string, std::less<>> m_writtenEvidence;
+    /// The order whose evidence was read from the store, by service. Before that a daemon that has just started does
+    /// not know what the others observed.
+    std::map<std::string, uint64_t, std::less<>> m_orderOfReadEvidence;
 };
 
 }
--- a/Services/comfreysaild/RowAdopter.cpp
+++ b/Services/comfreysaild/RowAdopter.cpp
@@ -74,6 +74,7 @@
         m_state.zonesOutOfService = std::move(zonesOutOfService);
     }
     adoptMoves(moves);
+    adoptMoveStarts(Core::monotonicNow());
     adoptResults();
     m_crashRows.adopt(Core::monotonicNow());
     m_state.retries.setDaemons(m_state.sharedRows.table(Platform::Table::members).size());
@@ -112,7 +113,7 @@
             continue;
         MoveInProgress progress;
         progress.move = move;
-        progress.firstSeenAt = Core::monotonicNow();
+        progress.startedAt = Core::monotonicNow();
         m_state.moves.insert_or_assign(move.service, std::move(progress));
         Telemetry::EventLine("move_ordered").add("service", move.service).add("to", move.toVersion).logInfo();
     }
@@ -123,6 +124,30 @@
     m_state.evidence.setMoves(orders);
 }
 
+void RowAdopter::adoptMoveStarts(Core::Instant now)
+{
+    // A daemon that runs hears of an order within this time.
+    constexpr Core::Duration maxDelayOfOrder = std::chrono::seconds(2);
+    for (auto const& [service, text] : m_state.sharedRows.table(Platform::Table::moveStarts)) {
+        auto const found = m_state.moves.find(service);
+        auto const start = Traffic::parseMoveStart(storeRow(service, text).value);
+        if (found == m_state.moves.end() || !start || found->second.move.orderedAt != start->orderedAt)
+            continue;
+        auto& progress = found->second;
+        auto const startedAt = m_state.storeClock.instantOf(start->startedAt);
+        if (progress.isStartKnown || !startedAt)
+            continue;
+        progress.isStartKnown = true;
+        progress.missedTrialStart = progress.startedAt - *startedAt > maxDelayOfOrder;
+        progress.startedAt = std::min(progress.startedAt, *startedAt);
+        Telemetry::EventLine("move_start_known")
+            .add("service", service)
+            .add("elapsed_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - progress.startedAt).count())
+            .add("missed_trial_start", progress.missedTrialStart)
+            .logInfo();
+    }
+}
+
 void RowAdopter::adoptResults()
 {
     for (auto const& [key, text] : m_state.sharedRows.table(Platform::Table::results)) {
--- a/Services/comfreysaild/RowAdopter.h
+++ b/Services/comfreysaild/RowAdopter.h
@@ -29,6 +29,8 @@
 private:
     void adoptPlan(Platform::StoreRow const&);
     void adoptMoves(std::vector<Traffic::VersionMove> const&);
+    /// Applies when the moves have started, as far as the store says it.
+    void adoptMoveStarts(Core::Instant now);
     void adoptResults();
     bool isFirstRefusal(std::string const& key, uint64_t revision);
 
--- a/Services/comfreysaild/StoreFollower.cpp
+++ b/Services/comfreysaild/StoreFollower.cpp
@@ -339,10 +339,8 @@
     bool const hasOperators = co_await m_reader.readTable(Platform::Table::operators);
     if (!hasOperators)
         co_return false;
-    // Before this daemon serves requests, it has to know which of them crash targets. It serves without these rows if
-    // just they cannot be read.
     if (!m_state.hasReadTargets)
-        co_await m_reader.readTable(Platform::Table::crashes);
+        co_await readHistory();
     bool const hasTargets = co_await m_reader.readTable(Platform::Table::targets);
     if (!hasTargets)
         co_return false;
@@ -361,6 +359,17 @@
     co_return true;
 }
 
+awaitable<void> StoreFollower::readHistory()
+{
+    co_await m_reader.readTable(Platform::Table::crashes);
+    auto const& orders = m_state.sharedRows.table(Platform::Table::operators);
+    auto const firstMove = orders.lower_bound(Platform::Key::movePrefix);
+    if (firstMove == orders.end() || !firstMove->first.starts_with(Platform::Key::movePrefix))
+        co_return;
+    co_await m_reader.readTable(Platform::Table::results);
+    co_await m_reader.readTable(Platform::Table::moveStarts);
+}
+
 awaitable<void> StoreFollower::registerSelf()
 {
     auto const now = Core::monotonicNow();
--- a/Services/comfreysaild/StoreFollower.h
+++ b/Services/comfreysaild/StoreFollower.h
@@ -29,6 +29,9 @@
     HTTP::awaitable<RelayResult> pollOne(Traffic::RelayMember source, bool mayWait);
     RelayQuery queryFor(std::string const& member, bool mayWait) const;
     HTTP::awaitable<bool> readStore();
+    /// Reads what a daemon that starts must know before it serves requests: which of them crash targets, and how far
+    /// the moves are. It serves without those rows if just they cannot be read.
+    HTTP::awaitable<void> readHistory();
     HTTP::awaitable<void> registerSelf();
     HTTP::awaitable<void> pause(Core::Duration);
     void adoptRows();
--- /dev/null
+++ b/Tests/comfreysaild/TestEntryMoves.cpp
@@ -0,0 +1,99 @@
+#include "EntryFixture.h"
+
+#include <catch2/catch.hpp>
+#include <thread>
+
+using namespace Comfreysail::Tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+bool respondComplete(RawConnection& connection, std::string const& head)
+{
+    return connection.send(signedResponse(head, "whole"));
+}
+
+class MoveFixture : public EntryFixture {
+public:
+    void orderMove(unsigned seconds)
+    {
+        writeOperatorRow(
+            "rollout/orders", R"({"service":"orders","to":"v2","duration-s":)" + std::to_string(seconds) + "}");
+    }
+
+    bool isCompleted() { return storeRow("status", "rollout/orders").find("completed") != std::string::npos; }
+
+    void restartDaemon()
+    {
+        killDaemons();
+        startDaemon();
+    }
+};
+
+}
+
+// Guards against a good version that is not completed by its time limit: the daemons that were restarted took the order
+// for one of this moment and began the trial again.
+TEST_CASE_METHOD(MoveFixture, "Entry_RestartOfAllDaemonsDuringAMove_TheMoveIsCompletedInTime")
+{
+    addTarget("old", respondComplete);
+    addTarget("new", respondComplete, "v2");
+    StopAtScopeEnd const stop(*this);
+    startDaemon();
+    orderMove(12);
+    auto const orderedAt = std::chrono::steady_clock::now();
+    std::this_thread::sleep_for(5s);
+    CHECK_FALSE(isCompleted());
+    restartDaemon();
+    auto const left = orderedAt + 12s - std::chrono::steady_clock::now();
+    CHECK(eventually([&] { return isCompleted(); }, std::chrono::duration_cast<std::chrono::milliseconds>(left)));
+}
+
+// Each daemon may send the first requests of a trial to the new version at a higher rate. Daemons that restart again
+// and again must not do so each time: a bad version may get a tenth of the requests and 50 more.
+TEST_CASE_METHOD(MoveFixture, "Entry_DaemonRestartsDuringAMove_NewVersionGetsOnlyItsShare")
+{
+    auto& oldVersion = addTarget("old", respondComplete);
+    auto& newVersion = addTarget("new", respondComplete, "v2");
+    StopAtScopeEnd const stop(*this);
+    startDaemon();
+    orderMove(120);
+    for (int restart = 0; restart < 5; ++restart) {
+        std::this_thread::sleep_for(2500ms);
+        for (int count = 0; count < 110; ++count)
+            call("GET", "/read/1");
+        restartDaemon();
+    }
+    auto const requests = oldVersion.runs + newVersion.runs;
+    CHECK(requests >= 500);
+    CHECK(newVersion.runs <= requests / 10 + 50);
+}
+
+// The counterpart: the trial of a bad version goes on with the evidence from before the restart.
+TEST_CASE_METHOD(MoveFixture, "Entry_BadVersionAndARestartOfAllDaemons_IsRolledBackAndGetsNothing")
+{
+    addTarget("old", respondComplete);
+    auto& newVersion = addTarget(
+        "new",
+        [](RawConnection& connection, std::string const& head) {
+            return connection.send(signedResponse(head, "no", "500 Internal Server Error"));
+        },
+        "v2");
+    StopAtScopeEnd const stop(*this);
+    startDaemon();
+    orderMove(10);
+    auto const isRolledBack
+        = [&] { return storeRow("status", "rollout/orders").find("rolled_back") != std::string::npos; };
+    CHECK(eventually(
+        [&] {
+            call("POST", "/pay/1", "order");
+            return isRolledBack();
+        },
+        8s));
+    restartDaemon();
+    auto const before = newVersion.runs.load();
+    for (int count = 0; count < 50; ++count)
+        call("POST", "/pay/1", "order");
+    CHECK(newVersion.runs == before);
+    CHECK(isRolledBack());
+}
