comfreysaild: Pass on large error responses whole

Cause: TargetExchange::receive() kept the connection for the rest of a large body only for a response that is delivered at once. For an error response the part that was buffered went on as the whole.

Change: an error response keeps the connection too. It is passed on as it arrives, and broken off visibly if its target breaks it off. If the request is sent again, the response and its connection are dropped when another target has been chosen, and not before, so that the caller gets the error response if there is no other target.

--- a/Services/comfreysaild/EntryHandler.cpp
+++ b/Services/comfreysaild/EntryHandler.cpp
@@ -202,13 +202,14 @@
             // Prefers an error response that a target sent over a refusal by this daemon.
             if (request.response && !request.stopSignal.reason())
                 break;
+            dropResponse(request);
             if (request.sends == 0)
                 lastError = errorOf(selected);
             co_await refuse(request, lastError);
             co_return;
         }
         auto const target = valueOf(selected);
-        request.response.reset();
+        dropResponse(request);
         auto const move = m_state.moves.find(target.service);
         if (move != m_state.moves.end() && move->second.move.toVersion == target.version)
             ++move->second.sentToNewVersion;
@@ -235,8 +236,7 @@
         noteEvidence(request, target, verdict);
         noteFault(request, target, verdict);
         if (request.stopSignal.reason()) {
-            if (request.streamingConnection)
-                m_pool.discard(request.streamingConnection, false);
+            dropResponse(request);
             lastError = Error { *request.stopSignal.reason(), {} };
             co_await refuse(request, lastError);
             co_return;
@@ -259,6 +259,13 @@
     co_await deliver(request);
 }
 
+void EntryHandler::dropResponse(EntryRequest& request)
+{
+    request.response.reset();
+    if (request.streamingConnection)
+        m_pool.discard(std::exchange(request.streamingConnection, nullptr), false);
+}
+
 bool EntryHandler::mayRetry(EntryRequest& request, ResponseVerdict verdict, Instant now)
 {
     bool const hasNotRun = verdict == ResponseVerdict::NotRun || verdict == ResponseVerdict::OtherTarget;
--- a/Services/comfreysaild/EntryHandler.h
+++ b/Services/comfreysaild/EntryHandler.h
@@ -25,6 +25,8 @@
     HTTP::awaitable<void> deliver(EntryRequest&);
     /// Passes on a response body that is too large to buffer.
     HTTP::awaitable<void> stream(EntryRequest&, HTTP::ResponseHead);
+    /// Drops the last response, of which a part may still have to be read.
+    void dropResponse(EntryRequest&);
     HTTP::awaitable<void> refuse(EntryRequest&, Core::Error const&);
     bool mayRetry(EntryRequest&, Traffic::ResponseVerdict, Core::Instant now);
     void noteSend(EntryRequest&, Traffic::RegisteredTarget const&);
--- a/Services/comfreysaild/TargetExchange.cpp
+++ b/Services/comfreysaild/TargetExchange.cpp
@@ -153,7 +153,8 @@
         bool const isComplete = co_await readBody(request, *connection);
         if (verdict == ResponseVerdict::Foreign && isComplete && !request.streamingConnection)
             continue;
-        if (request.streamingConnection && verdict == ResponseVerdict::Deliver && !request.stopSignal.reason()) {
+        bool const mayReachCaller = verdict == ResponseVerdict::Deliver || verdict == ResponseVerdict::Failed;
+        if (request.streamingConnection && mayReachCaller && !request.stopSignal.reason()) {
             request.streamingConnection = connection;
             co_return verdict;
         }
--- a/Tests/comfreysaild/TestEntryResponses.cpp
+++ b/Tests/comfreysaild/TestEntryResponses.cpp
@@ -168,6 +168,53 @@
     CHECK_FALSE(call("GET", "/files/1").isComplete);
 }
 
+// Guards against an error response that reaches its caller as a whole one although it lacks its end: what was buffered
+// of it was delivered with the length of that part.
+TEST_CASE_METHOD(EntryFixture, "Entry_LargeErrorResponse_IsWholeOrIncompleteForTheCaller")
+{
+    auto const method = GENERATE(as<std::string> {}, "GET", "POST");
+    bool const isChunked = GENERATE(false, true);
+    bool const isBrokenOff = GENERATE(false, true);
+    CAPTURE(method, isChunked, isBrokenOff);
+    std::string const body(size_t { 3 } << 20, 'x');
+    StopAtScopeEnd const stop(*this);
+    addTarget("t1", [&](RawConnection& connection, std::string const& head) {
+        auto const framing = isChunked ? "Transfer-Encoding: chunked\r\n\r\n300000\r\n"
+                                       : "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+        auto const end = isChunked ? "\r\n0\r\n\r\n" : "";
+        connection.send("HTTP/1.1 500 Internal Server Error\r\n" + signatureFields(head) + framing);
+        connection.send(isBrokenOff ? body.substr(0, body.size() / 2) : body + end);
+        return !isBrokenOff;
+    });
+    startDaemon();
+    auto const response = method == "GET" ? call("GET", "/read/1") : call("POST", "/pay/1", "order");
+    CHECK(response.status() == 500);
+    CHECK(response.isComplete == !isBrokenOff);
+    CHECK((isBrokenOff || response.body == body));
+}
+
+// A large error response is dropped when the lookup is sent again. It must not be delivered when that send fails too.
+TEST_CASE_METHOD(EntryFixture, "Entry_LookupAfterALargeErrorResponse_GetsAWholeResponse")
+{
+    bool const isOtherWorking = GENERATE(false, true);
+    std::string const body(size_t { 3 } << 20, 'x');
+    StopAtScopeEnd const stop(*this);
+    addTarget("t1", [&](RawConnection& connection, std::string const& head) {
+        return connection.send(signedResponse(head, body, "500 Internal Server Error"));
+    });
+    addTarget("t2", [&](RawConnection& connection, std::string const& head) {
+        return connection.send(isOtherWorking ? signedResponse(head, "whole") : std::string()) && isOtherWorking;
+    });
+    startDaemon();
+    for (int count = 0; count < 6; ++count) {
+        auto const response = call("GET", "/read/1");
+        CHECK(response.isComplete);
+        CHECK((response.status() == 500 ? response.body == body : !response.body.starts_with("xx")));
+        if (isOtherWorking)
+            CHECK((response.status() == 200 || response.status() == 500));
+    }
+}
+
 // A response without a length ends with its connection. Guards against delivering it with a length, which would make a
 // truncated one look complete.
 TEST_CASE_METHOD(EntryFixture, "Entry_ResponseWithoutLength_IsDeliveredWithoutLength")
