comfreysaild: Bound the memory for all buffered responses together

What other operators saw: a faulty target sent bytes without end, and the machine that had called it ran out of memory.

Cause here: up to 1 MiB of each response is buffered, and nothing bounded the number of such buffers; the buffered part was also kept while the rest was passed on. One endless response was bounded already, in all ten kinds of the tests.

Change: the buffered parts share a quarter of the VM's memory, by the budget that request bodies have. A response that gets no more is passed on as it arrives. The buffered part is released when it has been sent.

--- a/Services/comfreysaild/BodyReservation.cpp
+++ b/Services/comfreysaild/BodyReservation.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
+#include <utility>
 
 namespace Comfreysail::Daemon {
 
@@ -16,7 +17,9 @@
 
 }
 
-BodyReservation::~BodyReservation() { m_budget.release(m_bytes); }
+BodyReservation::~BodyReservation() { release(); }
+
+void BodyReservation::release() { m_budget.release(std::exchange(m_bytes, 0)); }
 
 awaitable<bool> BodyReservation::reserve(size_t bytes, StopSignal& stopSignal, Core::Instant deadline)
 {
--- a/Services/comfreysaild/BodyReservation.h
+++ b/Services/comfreysaild/BodyReservation.h
@@ -6,7 +6,8 @@
 
 namespace Comfreysail::Daemon {
 
-/// The part of the body budget that one request holds until it ends. Used only on the daemon's thread.
+/// The part of a budget for bodies that one request holds until it releases it or ends. Used only on the daemon's
+/// thread.
 class BodyReservation {
 public:
     explicit BodyReservation(Traffic::BodyBudget& budget)
@@ -22,6 +23,7 @@
     HTTP::awaitable<bool> reserve(size_t bytes, StopSignal&, Core::Instant deadline);
     /// Makes sure that the reservation has at least this size. Does not wait.
     bool growTo(size_t bytes);
+    void release();
 
 private:
     Traffic::BodyBudget& m_budget;
--- a/Services/comfreysaild/EntryDaemon.cpp
+++ b/Services/comfreysaild/EntryDaemon.cpp
@@ -32,7 +32,8 @@
 // The requests of other daemons carry evidence on moves, about 25 bytes for each daemon.
 constexpr size_t maxRelayHeaderBytes = size_t { 64 } * 1024;
 
-// The rest is for connections, rows, responses, and the copy that a growing body needs.
+// Each for the bodies of requests and for the buffered parts of responses. The rest is for connections, rows, and the
+// copy that a growing body needs.
 constexpr double fractionOfMemoryForBodies = 0.25;
 
 // Used when the settings have no grace time.
--- a/Services/comfreysaild/EntryHandler.cpp
+++ b/Services/comfreysaild/EntryHandler.cpp
@@ -90,7 +90,7 @@
 awaitable<void> EntryHandler::handle(HTTP::ServerExchange& exchange)
 {
     ++m_state.activeRequests;
-    EntryRequest request(exchange, m_state.bodies);
+    EntryRequest request(exchange, m_state);
     auto const prepared = co_await prepare(request);
     if (isError(prepared))
         co_await refuse(request, errorOf(prepared));
@@ -367,7 +367,10 @@
     exchange.startResponse(std::move(head));
     bool isSent = co_await exchange.sendBody(request.responseBody);
     bool isComplete = false;
-    std::vector<char> buffer(readBufferSize);
+    // The rest may take long, so it must not hold the memory of the part that was buffered.
+    std::string(readBufferSize, '\0').swap(request.responseBody);
+    request.responseMemory.release();
+    auto& buffer = request.responseBody;
     while (isSent && !isComplete && !request.stopSignal.reason()) {
         stallWatchdog->arm(Core::monotonicNow() + streamStallTimeout, [&connection] { connection->close(); });
         auto const size = co_await connection->readBody(buffer);
--- a/Services/comfreysaild/EntryRequest.h
+++ b/Services/comfreysaild/EntryRequest.h
@@ -13,11 +13,12 @@
 
 /// The state of one caller's request while it is being processed.
 struct EntryRequest {
-    EntryRequest(HTTP::ServerExchange& exchange, Traffic::BodyBudget& bodies)
+    EntryRequest(HTTP::ServerExchange& exchange, EntryState& state)
         : exchange(exchange)
         , arrivedAt(Core::monotonicNow())
         , deadlineWatchdog(HTTP::Watchdog::create(exchange.strand()))
-        , bodyMemory(bodies)
+        , bodyMemory(state.bodies)
+        , responseMemory(state.responseBuffers)
     {
     }
 
@@ -54,6 +55,7 @@
     /// The last response to this request, with its complete body.
     std::optional<HTTP::ResponseHead> response;
     std::string responseBody;
+    BodyReservation responseMemory; ///< For `responseBody`.
     /// Set while the response body is too large to buffer; the rest of it is still to be read from this connection.
     std::shared_ptr<HTTP::ClientConnection> streamingConnection;
 
--- a/Services/comfreysaild/EntryState.h
+++ b/Services/comfreysaild/EntryState.h
@@ -30,6 +30,7 @@
         Traffic::BodyBudgetOptions const& bodyOptions = {})
         : directory(vmName)
         , bodies(bodyOptions)
+        , responseBuffers(bodyOptions)
         , retries(std::move(budget))
     {
     }
@@ -47,7 +48,8 @@
     Traffic::TargetDirectory directory;
     Traffic::PauseDetector pauses;
     bool hasReadTargets { false };
-    Traffic::BodyBudget bodies; ///< Memory for the bodies of callers' requests.
+    Traffic::BodyBudget bodies;          ///< Memory for the bodies of callers' requests.
+    Traffic::BodyBudget responseBuffers; ///< Memory for the parts of targets' responses that are buffered.
     Traffic::SharedRetryBudget retries;
     Traffic::ColdTargetRateLimiter coldSends;
     std::map<std::string, Traffic::CallerTimeoutEstimate, std::less<>>
--- a/Services/comfreysaild/TargetExchange.cpp
+++ b/Services/comfreysaild/TargetExchange.cpp
@@ -203,7 +203,11 @@
             co_return false;
         if (valueOf(size) == 0)
             co_return true;
-        if (body.size() > maxBufferedResponseBytes) {
+        // Without memory for more, the response is passed on as it arrives, and can no longer be retried if it breaks
+        // off.
+        bool const mayBufferMore = body.size() <= maxBufferedResponseBytes
+            && (body.size() <= readBufferSize || request.responseMemory.growTo(body.size() + readBufferSize));
+        if (!mayBufferMore) {
             request.streamingConnection = connection.shared_from_this();
             co_return true;
         }
--- a/Tests/comfreysaild/TestEntryEndlessResponses.cpp
+++ b/Tests/comfreysaild/TestEntryEndlessResponses.cpp
@@ -1,6 +1,7 @@
 #include "EntryFixture.h"
 
 #include <catch2/catch.hpp>
+#include <thread>
 
 using namespace Comfreysail::Tests;
 using namespace std::chrono_literals;
@@ -13,6 +14,9 @@
 // A quarter of the 32 MB that design.md 1.5 allows for control. A daemon buffers 1 MiB of one response.
 constexpr size_t maxGrowthKilobytes = 8 * 1024;
 
+// Of the deployments in force, the smallest VM has 160 MB.
+constexpr size_t smallestVmKilobytes = 160 * 1024;
+
 struct EndlessCase {
     std::string name;
     std::string start;               ///< Follows the status line and the fields that identify the response.
@@ -132,3 +136,42 @@
     CHECK(target.runs + healthy.runs + unknown >= orders);
     CHECK(target.runs + healthy.runs <= orders);
 }
+
+// Guards against a VM that runs out of memory, and loses the requests of all its callers, when a target sends bodies
+// without end in response to many requests at once. The callers do not read what they get.
+TEST_CASE_METHOD(EntryFixture, "Entry_ManyResponsesWithoutEnd_StayWithinTheMemoryOfTheSmallestVm")
+{
+    auto const start = GENERATE(
+        as<std::string> {}, "\r\n", "Transfer-Encoding: chunked\r\n\r\n", "Content-Length: 1000000000\r\n\r\n");
+    CAPTURE(start);
+    auto const piece = start.find("chunked") == std::string::npos ? std::string("abcdefgh") : "8\r\nabcdefgh\r\n";
+    StopAtScopeEnd const stop(*this);
+    auto& endless = addTarget("t1", [&](RawConnection& connection, std::string const& head) {
+        sendWithoutEnd(connection,
+            "HTTP/1.1 200 OK\r\nX-Comfreysail-Request-Id: " + requestIdOf(head)
+                + "\r\nX-Comfreysail-Backend-Signature: s\r\n" + start,
+            piece);
+        return false;
+    });
+    endless.load = "0,0,999,100";
+    addTarget("t2", [](RawConnection& connection, std::string const& head) {
+        return connection.send(signedResponse(head, "whole"));
+    });
+    DaemonOptions options;
+    options.settings = "memory_mb = \"160\"\n";
+    auto& daemon = startDaemon(options);
+    std::vector<RawConnection> callers;
+    for (unsigned number = 0; number < 400; ++number) {
+        callers.push_back(daemon.connect());
+        callers.back().send(requestText("GET", "/files/1", "m" + std::to_string(number), {}, 3000));
+    }
+    size_t most = 0;
+    auto const end = std::chrono::steady_clock::now() + 2500ms;
+    while (std::chrono::steady_clock::now() < end) {
+        most = std::max(most, daemon.residentKilobytes());
+        std::this_thread::sleep_for(10ms);
+    }
+    CHECK(most < smallestVmKilobytes);
+    CHECK(eventually([&] { return call("GET", "/read/1").body == "whole"; }, 6s));
+    CHECK(endless.runs >= 100);
+}
