comfreysaild: Take no request late in a planned stop that it cannot answer

What other operators saw, and what happens here: an order that comes late in the grace time is passed on to a target, and cut off without a response when the daemon ends.

Cause: a connection was closed after a response only if its request was read after the signal; one that became idle later stayed open. A late request was passed on whatever time was left, and what still ran at the end was reset.

Change: each response that starts during the stop closes its connection, or the last of those that were read already. A request that its target could not answer in time before the end is refused at once as not run. What runs until 0.25 s before the end is answered instead of being reset.

--- a/Libraries/LibHTTP/Server.cpp
+++ b/Libraries/LibHTTP/Server.cpp
@@ -146,9 +146,16 @@
             co_return false;
         }
         // An earlier response closes the connection, so this request is not processed; the caller sends it again.
-        if (m_isEnding)
+        bool const isBehindClosingResponse
+            = !m_requestsInProgress.empty() && m_requestsInProgress.back()->exchange->willClose();
+        if (m_isEnding || isBehindClosingResponse)
             co_return false;
-        SessionCallbacks callbacks { [this] { noteChange(); }, [this] { endAfterCallerClosed(); } };
+        // Requests behind this one have been taken already, and their responses have to follow on this connection.
+        auto mustClose = [this, key = request.get()] {
+            return m_server->m_closesAfterResponses && m_requestsInProgress.back().get() == key;
+        };
+        SessionCallbacks callbacks { [this] { noteChange(); }, [this] { endAfterCallerClosed(); },
+            std::move(mustClose) };
         request->exchange.emplace(m_stream, request->reader, takeValue(std::move(head)), m_watchdogs, options, m_strand,
             std::move(callbacks));
         if (m_server->m_closesAfterResponses)
@@ -182,6 +189,9 @@
             m_requestsInProgress.front()->exchange->noteEarlierResponsesSent();
         if (isIdle())
             armCancel(m_server->m_options.idleTimeout);
+        // The response may have started before the server began to close connections.
+        if (m_server->m_closesIdleConnections)
+            closeIfIdle();
         noteChange();
     }
 
@@ -346,6 +356,7 @@
 
 void Server::closeIdleConnections()
 {
+    m_closesIdleConnections = true;
     std::vector<std::shared_ptr<Session>> sessions;
     {
         std::lock_guard const lock(m_mutex);
--- a/Libraries/LibHTTP/Server.h
+++ b/Libraries/LibHTTP/Server.h
@@ -26,10 +26,12 @@
     Core::Result<Core::Empty> start();
     uint16_t port() const { return m_port; }
 
-    /// Makes every request that is read from now on close its connection after the response.
+    /// Makes every response that starts from now on close its connection. If further requests of the connection were
+    /// read already, the last of their responses does so.
     void closeAfterResponses() { m_closesAfterResponses = true; }
 
-    /// Closes the connections that have no request in progress and have received no byte of a new one.
+    /// Closes the connections that have no request in progress and have received no byte of a new one, now and whenever
+    /// that becomes so.
     void closeIdleConnections();
 
     /// Accepts the connections that wait in the kernel, and then no more.
@@ -53,6 +55,7 @@
     tcp::acceptor m_acceptor;
     uint16_t m_port { 0 };
     std::atomic<bool> m_closesAfterResponses { false };
+    std::atomic<bool> m_closesIdleConnections { false };
     mutable std::mutex m_mutex;
     std::unordered_map<Session const*, std::weak_ptr<Session>> m_sessions;
 };
--- a/Libraries/LibHTTP/ServerExchange.cpp
+++ b/Libraries/LibHTTP/ServerExchange.cpp
@@ -78,7 +78,7 @@
 
 void ServerExchange::startResponse(ResponseHead head)
 {
-    m_keepAlive = m_keepAlive && head.keepAlive && !head.endsWithConnection;
+    m_keepAlive = m_keepAlive && head.keepAlive && !head.endsWithConnection && !m_sessionCallbacks.mustClose();
     // A caller that still waits for "100 Continue" may or may not send its body, so the start of the next request is
     // unknown.
     if (m_mustSendContinue)
--- a/Libraries/LibHTTP/ServerExchange.h
+++ b/Libraries/LibHTTP/ServerExchange.h
@@ -30,6 +30,7 @@
 struct SessionCallbacks {
     std::function<void()> onReadAhead;  ///< The next request may be read.
     std::function<void()> onCallerGone; ///< The caller closed the connection or its sending side.
+    std::function<bool()> mustClose;    ///< Whether a response that starts now has to close the connection.
 };
 
 /// One request and its response on a server connection, as the handler sees it. All calls run on the strand of the
@@ -87,7 +88,9 @@
     void noteEarlierResponsesSent();
     /// Marks the response as undeliverable and calls onGone. Unlike abort(), leaves the connection open.
     void drop();
-    bool isReadingAhead() const { return m_isReadingAhead; }
+    bool isReadingAhead() const { return m_isReadingAhead && !willClose(); }
+    /// Returns true once the response has started and closes the connection.
+    bool willClose() const { return m_isStarted && !m_keepAlive; }
 
     /// Closes the connection after this response, for example because the daemon shuts down.
     void closeAfterResponse() { m_keepAlive = false; }
--- a/Services/comfreysaild/EntryDaemon.cpp
+++ b/Services/comfreysaild/EntryDaemon.cpp
@@ -40,6 +40,8 @@
 constexpr auto defaultGrace = std::chrono::hours(24);
 // Part of the grace time that is kept for stopping the process.
 constexpr auto exitReserve = 250ms;
+// Part of that in which the callers of requests that are given up get their responses.
+constexpr auto lastResponsesTime = 100ms;
 
 Traffic::BodyBudgetOptions bodyBudgetOptions(DaemonSettings const& settings)
 {
@@ -245,6 +247,7 @@
     // The platform's balancer sends callers until it notices that this daemon is not ready. From now on each response
     // closes its connection.
     auto const until = Core::monotonicNow() + m_settings.grace.value_or(defaultGrace) - exitReserve;
+    m_state.stopsServingAt = until;
     m_callerServer->closeAfterResponses();
     co_await pause(m_settings.balancerLag);
     m_callerServer->stopAccepting();
@@ -256,6 +259,15 @@
     m_callerServer->closeIdleConnections();
     while (shouldWait())
         co_await pause(shutdownPollInterval);
+    if (m_state.activeRequests > 0) {
+        Telemetry::EventLine("requests_given_up").add("active_requests", m_state.activeRequests).logWarning();
+        auto const signals = m_state.activeStopSignals;
+        for (auto* const signal : signals) {
+            if (m_state.activeStopSignals.contains(signal))
+                signal->stop(Core::ErrorKind::ShuttingDown);
+        }
+        co_await pause(lastResponsesTime);
+    }
     Telemetry::EventLine("shutdown_finished").add("active_requests", m_state.activeRequests).logInfo();
     m_context.stop();
 }
--- a/Services/comfreysaild/EntryHandler.cpp
+++ b/Services/comfreysaild/EntryHandler.cpp
@@ -91,12 +91,14 @@
 {
     ++m_state.activeRequests;
     EntryRequest request(exchange, m_state);
+    m_state.activeStopSignals.insert(&request.stopSignal);
     auto const prepared = co_await prepare(request);
     if (isError(prepared))
         co_await refuse(request, errorOf(prepared));
     else
         co_await forward(request);
     request.deadlineWatchdog->disarm();
+    m_state.activeStopSignals.erase(&request.stopSignal);
     --m_state.activeRequests;
 }
 
@@ -114,6 +116,11 @@
     request.route = Traffic::findRoute(*request.plan, head.fields.find("Host").value_or(""), head.target);
     if (!request.route)
         co_return Error { ErrorKind::UnknownRoute, {} };
+    // Its target would not respond before this process ends.
+    bool const isTooLate
+        = m_state.stopsServingAt && request.arrivedAt + request.route->latencyTarget > *m_state.stopsServingAt;
+    if (isTooLate)
+        co_return Error { ErrorKind::ShuttingDown, {} };
     request.uniform = uniform();
     request.service = Traffic::chooseService(*request.route, uniform());
     auto const statedTime = timeLeft(head);
--- a/Services/comfreysaild/EntryState.h
+++ b/Services/comfreysaild/EntryState.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "StopSignal.h"
 #include <LibRetry/Retry.h>
 #include <LibTelemetry/Telemetry.h>
 #include <LibTraffic/Traffic.h>
@@ -59,6 +60,9 @@
     std::set<std::string, std::less<>> servicesWithoutLoadReports; ///< Their targets do not report load.
     Retry::Quarantine quarantine { { .crashesUntilRefused = 3 } };
     unsigned activeRequests { 0 };
+    std::set<StopSignal*> activeStopSignals; ///< Of the active requests.
+    /// During a planned stop, when the requests that are still active are given up.
+    std::optional<Core::Instant> stopsServingAt;
     bool isShuttingDown { false };
     Telemetry::MetricRegistry metrics;
 };
--- a/Tests/comfreysaild/TestEntryStops.cpp
+++ b/Tests/comfreysaild/TestEntryStops.cpp
@@ -14,6 +14,14 @@
     return connection.send(signedResponse(head, "whole"));
 }
 
+/// The daemon is planned to end this long after SIGTERM.
+void setGrace(DaemonProcess const& daemon, std::string const& seconds)
+{
+    daemon.replaceInSettings("grace_seconds = \"6\"", "grace_seconds = \"" + seconds + "\"");
+    daemon.hangUp();
+    REQUIRE(eventually([&] { return daemon.log().find("event=settings_file_read") != std::string::npos; }));
+}
+
 }
 
 // Each state in which a planned stop may find a request: its caller gets a whole response, and none is reset.
@@ -128,3 +136,117 @@
     CHECK(first.waitForExit() == 0);
     CHECK(second.waitForExit() == 0);
 }
+
+// Guards against an order that comes late in the grace time, on a connection that was kept open for a request from
+// before the stop. It was passed on, and cut off without a response when the daemon ended.
+TEST_CASE_METHOD(EntryFixture, "Entry_SigtermDuringARequest_ItsConnectionTakesNoLaterOne")
+{
+    std::atomic<unsigned> orders { 0 };
+    std::atomic<unsigned> answeredOrders { 0 };
+    StopAtScopeEnd const stop(*this);
+    addTarget("t1", [&](RawConnection& connection, std::string const& head) {
+        bool const isOrder = head.starts_with("POST ");
+        orders += isOrder ? 1 : 0;
+        std::this_thread::sleep_for(900ms);
+        return connection.send(signedResponse(head, "whole"));
+    });
+    auto& daemon = startDaemon({ .balancerLagMilliseconds = 100 });
+    setGrace(daemon, "1.8");
+    auto caller = daemon.connect();
+    REQUIRE(caller.send(requestText("GET", "/read/1", "k1")));
+    std::this_thread::sleep_for(100ms);
+    daemon.terminate();
+    auto const first = caller.readResponse();
+    CHECK(first.body == "whole");
+    CHECK(first.field("Connection") == "close");
+    caller.send(requestText("POST", "/pay/1", "k2", "order"));
+    answeredOrders += caller.readResponse().status() != 0 ? 1 : 0;
+    CHECK(daemon.waitForExit() == 0);
+    CHECK(orders == answeredOrders);
+}
+
+// The same where a download that has begun before the stop keeps its connection open.
+TEST_CASE_METHOD(EntryFixture, "Entry_SigtermDuringADownload_ItsConnectionTakesNoLaterRequest")
+{
+    std::atomic<unsigned> orders { 0 };
+    StopAtScopeEnd const stop(*this);
+    std::string const half(size_t { 2 } << 20, 'x');
+    addTarget("t1", [&](RawConnection& connection, std::string const& head) {
+        if (head.starts_with("POST ")) {
+            ++orders;
+            std::this_thread::sleep_for(900ms);
+            return connection.send(signedResponse(head, "whole"));
+        }
+        connection.send("HTTP/1.1 200 OK\r\nX-Comfreysail-Request-Id: " + requestIdOf(head)
+            + "\r\nX-Comfreysail-Backend-Signature: s\r\nContent-Length: " + std::to_string(2 * half.size())
+            + "\r\n\r\n" + half);
+        std::this_thread::sleep_for(900ms);
+        return connection.send(half);
+    });
+    auto& daemon = startDaemon({ .balancerLagMilliseconds = 100 });
+    setGrace(daemon, "1.8");
+    auto caller = daemon.connect();
+    REQUIRE(caller.send(requestText("GET", "/files/1", "k1")));
+    auto const head = caller.readUntil("\r\n\r\n");
+    daemon.terminate();
+    CHECK(caller.readExactly(2 * half.size()).size() == 2 * half.size());
+    std::this_thread::sleep_for(50ms);
+    caller.send(requestText("POST", "/pay/1", "k2", "order"));
+    bool const isAnswered = caller.readResponse().status() != 0;
+    CHECK(daemon.waitForExit() == 0);
+    CHECK((orders == 0 || isAnswered));
+}
+
+// A request whose head was on its way when the stop began arrives too late to be served. It is refused at once, and
+// truthfully as not run, so that its caller goes to another VM.
+TEST_CASE_METHOD(EntryFixture, "Entry_RequestArrivesAtTheEndOfTheGraceTime_IsRefusedAsNotRun")
+{
+    std::atomic<unsigned> orders { 0 };
+    StopAtScopeEnd const stop(*this);
+    addTarget("t1", [&](RawConnection& connection, std::string const& head) {
+        orders += head.starts_with("POST ") ? 1 : 0;
+        std::this_thread::sleep_for(head.starts_with("POST ") ? 500ms : 950ms);
+        return connection.send(signedResponse(head, "whole"));
+    });
+    auto& daemon = startDaemon({ .balancerLagMilliseconds = 100 });
+    setGrace(daemon, "1.3");
+    auto const text = requestText("POST", "/pay/1", "e1", "order");
+    // The daemon does not end before this lookup is answered.
+    auto running = daemon.connect();
+    REQUIRE(running.send(requestText("GET", "/read/1", "e2")));
+    auto late = daemon.connect();
+    REQUIRE(late.send(text.substr(0, 30)));
+    std::this_thread::sleep_for(50ms);
+    daemon.terminate();
+    std::this_thread::sleep_for(850ms);
+    auto const begin = std::chrono::steady_clock::now();
+    REQUIRE(late.send(text.substr(30)));
+    auto const response = late.readResponse();
+    CHECK(response.status() == 503);
+    CHECK(response.field("Connection") == "close");
+    CHECK_FALSE(response.field("Retry-After").empty());
+    CHECK(std::chrono::steady_clock::now() - begin < 100ms);
+    CHECK(orders == 0);
+    CHECK(running.readResponse().body == "whole");
+    CHECK(daemon.waitForExit() == 0);
+}
+
+// What still runs when the grace time ends gets a response that promises nothing, instead of a reset.
+TEST_CASE_METHOD(EntryFixture, "Entry_OrderRunsAtTheEndOfTheGraceTime_IsAnsweredAsUnknown")
+{
+    StopAtScopeEnd const stop(*this);
+    auto& target = addTarget("t1", [](RawConnection& connection, std::string const&) {
+        connection.waitForEnd(2s);
+        return false;
+    });
+    auto& daemon = startDaemon();
+    setGrace(daemon, "0.7");
+    auto caller = daemon.connect();
+    REQUIRE(caller.send(requestText("POST", "/pay/1", "u1", "order")));
+    REQUIRE(eventually([&] { return target.runs == 1; }));
+    daemon.terminate();
+    auto const response = caller.readResponse();
+    CHECK(response.isComplete);
+    CHECK(response.status() == 502);
+    CHECK(daemon.waitForExit(700ms) == 0);
+}
