comfreysaild: Deliver a response without a length in chunks

What callers see: a response without a length is passed on, and its daemon is killed on the way.

Cause: the end of such a response was the end of the caller's connection, which the kernel ends in order when a process is killed.

Change: it is passed on in chunks; the last one follows the orderly end of the target's connection. If all of it was buffered, it is sent with its length. The caller's connection stays open.

Entry_ResponseWithoutLength_IsDeliveredWhole replaces Entry_ResponseWithoutLength_IsDeliveredWithoutLength. That one wanted no length, since a truncated response would look whole with one; the new one wants the whole body and one framing, and Entry_ResponseWithoutLengthThatIsReset_... and the next test keep what it guarded.

--- a/Services/comfreysaild/EntryHandler.cpp
+++ b/Services/comfreysaild/EntryHandler.cpp
@@ -64,9 +64,10 @@
     HTTP::removeHopByHopFields(head.fields);
     head.fields.remove("Content-Length");
     head.fields.remove(Platform::headerNames().load);
-    // A response that ends with the target's connection may be truncated. Sending it with a length would make it look
-    // complete, so it ends with the caller's connection too.
-    head.keepAlive = !head.endsWithConnection;
+    // The end of a connection looks the same if this process ends on the way. In chunks, the response is complete only
+    // with the last one, which follows the orderly end of the target's connection.
+    head.chunked = head.chunked || std::exchange(head.endsWithConnection, false);
+    head.keepAlive = true;
     return head;
 }
 
@@ -335,7 +336,7 @@
         .add("bytes", request.responseBody.size())
         .add("latency_ms", milliseconds(latency))
         .logInfo();
-    if (head.endsWithConnection) {
+    if (request.response->endsWithConnection) {
         Telemetry::EventLine("answer_without_length")
             .add("request_id", request.requestId)
             .add("target", request.lastTarget)
@@ -345,7 +346,7 @@
     if (!request.streamingConnection) {
         bool const hasBody = exchange.head().method != "HEAD" && !HTTP::statusForbidsBody(head.status);
         head.chunked = false;
-        if (hasBody && !head.endsWithConnection)
+        if (hasBody)
             head.contentLength = request.responseBody.size();
         exchange.startResponse(std::move(head));
         bool isSent = true;
--- a/Tests/comfreysaild/TestEntryResponses.cpp
+++ b/Tests/comfreysaild/TestEntryResponses.cpp
@@ -215,21 +215,61 @@
     }
 }
 
-// A response without a length ends with its connection. Guards against delivering it with a length, which would make a
-// truncated one look complete.
-TEST_CASE_METHOD(EntryFixture, "Entry_ResponseWithoutLength_IsDeliveredWithoutLength")
+// A response without a length ends with its connection. It is complete if that ends in order, and then the caller gets
+// it whole and may keep its own connection.
+TEST_CASE_METHOD(EntryFixture, "Entry_ResponseWithoutLength_IsDeliveredWhole")
 {
-    addTarget("t1", [](RawConnection& connection, std::string const& head) {
-        connection.send("HTTP/1.1 200 OK\r\n" + signatureFields(head) + "\r\nall of it");
+    auto const size = GENERATE(as<size_t> {}, 0, 9, size_t { 3 } << 20);
+    CAPTURE(size);
+    std::string const body(size, 'x');
+    StopAtScopeEnd const stop(*this);
+    addTarget("t1", [&](RawConnection& connection, std::string const& head) {
+        connection.send("HTTP/1.1 200 OK\r\n" + signatureFields(head) + "\r\n" + body);
         return false;
     });
     startDaemon();
     auto connection = daemon().connect();
-    connection.send(requestText("GET", "/read/1", "a1"));
-    auto const head = connection.readUntil("\r\n\r\n");
-    CHECK_THAT(head, Catch::Matchers::StartsWith("HTTP/1.1 200"));
-    CHECK_THAT(head, !Catch::Matchers::Contains("Content-Length"));
-    CHECK(connection.readUntil("\r\n\r\n") == "all of it");
+    for (auto const* id : { "a1", "a2" }) {
+        connection.send(requestText("GET", "/read/1", id));
+        auto const response = connection.readResponse();
+        CHECK(response.status() == 200);
+        CHECK(response.isComplete);
+        CHECK(response.body == body);
+        // Only one of these tells the caller that the body has arrived whole.
+        CHECK((response.field("Content-Length").empty() != response.field("Transfer-Encoding").empty()));
+    }
+}
+
+// Guards against a part of a response that looks like a whole one: a daemon that is killed on the way ends its
+// connections as at the end of a body without a length.
+TEST_CASE_METHOD(EntryFixture, "Entry_DaemonEndsDuringAResponseWithoutLength_IsIncompleteForTheCaller")
+{
+    bool const isPlanned = GENERATE(false, true);
+    bool const isLarge = GENERATE(false, true);
+    CAPTURE(isPlanned, isLarge);
+    std::string const part(isLarge ? size_t { 3 } << 20 : 1000, 'x');
+    StopAtScopeEnd const stop(*this);
+    addTarget("t1", [&](RawConnection& connection, std::string const& head) {
+        connection.send("HTTP/1.1 200 OK\r\n" + signatureFields(head) + "\r\n" + part);
+        connection.waitForEnd(900ms);
+        return false;
+    });
+    auto& daemon = startDaemon();
+    daemon.replaceInSettings("grace_seconds = \"6\"", "grace_seconds = \"0.6\"");
+    daemon.hangUp();
+    REQUIRE(eventually([&] { return daemon.log().find("event=settings_file_read") != std::string::npos; }));
+    auto caller = daemon.connect();
+    caller.send(requestText("GET", "/files/1", "a1"));
+    std::this_thread::sleep_for(200ms);
+    if (isPlanned)
+        daemon.terminate();
+    else
+        daemon.kill();
+    auto const response = caller.readResponse();
+    CHECK_FALSE((response.status() == 200 && response.isComplete));
+    // A body without these is complete wherever its connection ends in order.
+    bool const isFramed = !response.field("Content-Length").empty() || response.field("Transfer-Encoding") == "chunked";
+    CHECK((response.status() == 0 || isFramed));
 }
 
 TEST_CASE_METHOD(EntryFixture, "Entry_ResponseWithoutLengthThatIsReset_IsNotDelivered")
