comfreysaild: Count bad responses as evidence against a new version

Cause: EntryHandler::noteEvidence() left out the verdict Invalid, so a response that is cut off, unsigned, not HTTP or a 503 that does not state "not run" counted neither as a request nor as a failure.

Change: they count as failures of the version. A connection that is lost before any response does not, since it may have been closed while idle or by a target that is full.

--- a/Services/comfreysaild/EntryHandler.cpp
+++ b/Services/comfreysaild/EntryHandler.cpp
@@ -480,15 +480,20 @@
 void EntryHandler::noteEvidence(EntryRequest const& request, RegisteredTarget const& target, ResponseVerdict verdict)
 {
     auto const found = m_state.moves.find(target.service);
-    bool const isEvidence = verdict == ResponseVerdict::Deliver || verdict == ResponseVerdict::Failed
-        || (verdict == ResponseVerdict::Invalid && request.stopSignal.reason() == ErrorKind::DeadlineExceeded);
+    // A connection that is lost before a response may have been closed while it was idle, or by a target that is full.
+    bool const isBadResponse
+        = verdict == ResponseVerdict::Invalid && !request.stopSignal.reason() && !request.wasConnectionLost;
+    bool const hasTimedOut
+        = verdict == ResponseVerdict::Invalid && request.stopSignal.reason() == ErrorKind::DeadlineExceeded;
+    bool const isEvidence
+        = verdict == ResponseVerdict::Deliver || verdict == ResponseVerdict::Failed || isBadResponse || hasTimedOut;
     if (found == m_state.moves.end() || !isEvidence)
         return;
     auto& progress = found->second;
     auto& evidence = progress.evidence;
     auto& side = target.version == progress.move.toVersion ? evidence.newVersion : evidence.oldVersion;
     ++side.requests;
-    if (verdict == ResponseVerdict::Failed)
+    if (verdict == ResponseVerdict::Failed || isBadResponse)
         ++side.failures;
     auto const latencyTarget = request.route->latencyTarget;
     if (latencyTarget.count() > 0 && Core::monotonicNow() - request.sentAt > latencyTarget)
--- a/Tests/comfreysaild/TestEntryMoves.cpp
+++ b/Tests/comfreysaild/TestEntryMoves.cpp
@@ -69,6 +69,41 @@
     CHECK(newVersion.runs <= requests / 10 + 50);
 }
 
+// Guards against a bad version that is completed: only responses that say themselves that they are failures counted
+// against it, and not those that are cut off, unsigned or no response at all.
+TEST_CASE_METHOD(MoveFixture, "Entry_NewVersionSendsBadResponses_IsRolledBack")
+{
+    auto const bad = GENERATE(as<std::string> {}, "cut off", "unsigned", "503 that has run", "no response", "error");
+    CAPTURE(bad);
+    addTarget("old", respondComplete);
+    addTarget(
+        "new",
+        [&](RawConnection& connection, std::string const& head) {
+            if (bad == "error")
+                return connection.send(signedResponse(head, "no", "500 Internal Server Error"));
+            if (bad == "unsigned")
+                return connection.send(
+                    wholeResponse("whole", "X-Comfreysail-Request-Id: " + requestIdOf(head) + "\r\n"));
+            if (bad == "503 that has run")
+                return connection.send(signedResponse(head, "no", "503 Service Unavailable"));
+            auto const whole = signedResponse(head, "whole");
+            connection.send(bad == "cut off" ? whole.substr(0, whole.size() - 3) : "no response at all\r\n\r\n");
+            return false;
+        },
+        "v2");
+    StopAtScopeEnd const stop(*this);
+    startDaemon();
+    orderMove(12);
+    auto const hasResult = [&] { return !storeRow("status", "rollout/orders").empty(); };
+    CHECK(eventually(
+        [&] {
+            call("POST", "/pay/1", "order");
+            return hasResult();
+        },
+        12s));
+    CHECK_FALSE(isCompleted());
+}
+
 // The counterpart: the trial of a bad version goes on with the evidence from before the restart.
 TEST_CASE_METHOD(MoveFixture, "Entry_BadVersionAndARestartOfAllDaemons_IsRolledBackAndGetsNothing")
 {
