LibTraffic: Judge a version bad at a twentieth more failures

Cause: the good responses from before the fault stay in the sum that is judged, so the excess stays below the tenth that was required, although it is 3.7 to 6.9 standard deviations.

Change: a twentieth is enough. The number of standard deviations stays, which keeps good versions from being rolled back by chance (Move_GoodVersion_IsRarelyRolledBackByChance).

Conclusion: better, not solved. The trial yields too few failures at this rate; it would have to go on while a version is suspect, which the daemons that do not read the store cannot tell.

--- a/Libraries/LibTraffic/MoveJudge.h
+++ b/Libraries/LibTraffic/MoveJudge.h
@@ -29,7 +29,7 @@
     /// A version is judged bad if it has at least this many failures and its failure rate exceeds that of the old
     /// version by this much.
     uint64_t failuresForVerdict { 3 };
-    double failureShareForVerdict { 0.1 };
+    double failureShareForVerdict { 0.05 };
     /// A version is judged bad if its fraction of slow responses exceeds that of the old version by this much and it
     /// has at least this many slow responses. After the trial a larger excess is required, because the new version then
     /// carries the whole load, which may itself cause the slowness.
--- a/Tests/LibTraffic/TestMoveJudge.cpp
+++ b/Tests/LibTraffic/TestMoveJudge.cpp
@@ -28,9 +28,9 @@
 };
 
 /// Simulates the trial of a move with several daemons. `failed` and `slow` are the probabilities of a failed and of a
-/// slow response of the new version.
+/// slow response of the new version, `failed` from `badAfter` on.
 Trial simulateTrial(VersionMove const& move, MoveOptions const& options, int requestsPerSecond, double failed,
-    double slow, unsigned seed)
+    double slow, unsigned seed, Core::Duration badAfter = {})
 {
     constexpr size_t daemons = 14;
     constexpr double oldFailureRate = 0.004;
@@ -47,7 +47,8 @@
         ownSent += goesToNew ? 1 : 0;
         auto& side = goesToNew ? trial.newVersion : trial.oldVersion;
         ++side.requests;
-        side.failures += uniform(generator) < (goesToNew ? failed : oldFailureRate) ? 1 : 0;
+        bool const isBad = goesToNew && since >= badAfter;
+        side.failures += uniform(generator) < (isBad ? failed : oldFailureRate) ? 1 : 0;
         side.slow += uniform(generator) < (goesToNew ? slow : oldSlowRate) ? 1 : 0;
         if (isNewVersionBad(trial.newVersion, trial.oldVersion, true, options))
             trial.judgedAfter = since;
@@ -83,6 +84,19 @@
     CHECK(found >= trials - 1);
 }
 
+// A version that fails an eighth of its requests from some seconds after its start on. The responses from before must
+// not hide it until it gets all traffic: it got up to 688 of 1,483 requests, with 198 allowed (review/5).
+TEST_CASE_METHOD(MoveJudgeFixture, "Move_VersionThatFailsSomeRequestsLater_IsDetectedDuringTheTrial")
+{
+    auto const requestsPerSecond = GENERATE(77, 200, 400);
+    unsigned found = 0;
+    constexpr unsigned trials = 50;
+    for (unsigned seed = 1; seed <= trials; ++seed)
+        found += simulateTrial(move, options, requestsPerSecond, 0.12, 0.12, seed, 3s).judgedAfter ? 1 : 0;
+    CAPTURE(requestsPerSecond, found);
+    CHECK(found >= trials - 1);
+}
+
 // A good version that is rolled back by chance does not complete its move in time.
 TEST_CASE_METHOD(MoveJudgeFixture, "Move_GoodVersion_IsRarelyRolledBackByChance")
 {
