Tests: Let the response before an order close its connection by other means

Entry_OrderPipelinedBehindAClosingResponse_DoesNotRun took a response without a length for one that closes the caller's connection. It does not any more, so the order behind it rightly ran. What the test showed by chance has a test of its own, Entry_OrderPipelinedBehindAResponseWithoutLength_RunsOnce: the order runs once and its response arrives.

DecodeRowPage_ValueThatIsNotBase64_KeepsTheOtherRows compares a whole page, to which the store's time was added; it now expects that too.

--- a/Tests/Platform/TestDecode.cpp
+++ b/Tests/Platform/TestDecode.cpp
@@ -144,5 +144,6 @@
         {"table":"servers","part":"","key":"b","value":"dg==","resource-version":2}],
         "has-more":true,"resource-version":5,"now-s":1.5})");
     REQUIRE_FALSE(isError(page));
-    CHECK(valueOf(page) == RowPage { { { "", "a", "", 1, "servers" }, { "", "b", "v", 2, "servers" } }, true, 5 });
+    CHECK(valueOf(page)
+        == RowPage { { { "", "a", "", 1, "servers" }, { "", "b", "v", 2, "servers" } }, true, 5, 1500ms });
 }
--- a/Tests/comfreysaild/TestEntryResponses.cpp
+++ b/Tests/comfreysaild/TestEntryResponses.cpp
@@ -426,22 +426,54 @@
 // sends the order again.
 TEST_CASE_METHOD(EntryFixture, "Entry_OrderPipelinedBehindAClosingResponse_DoesNotRun")
 {
-    auto& target = addTarget("t1", [](RawConnection& connection, std::string const& head) {
+    bool const isBrokenOff = GENERATE(false, true);
+    CAPTURE(isBrokenOff);
+    std::string const part(size_t { 2 } << 20, 'x');
+    auto& target = addTarget("t1", [&](RawConnection& connection, std::string const& head) {
         std::this_thread::sleep_for(100ms);
         connection.send("HTTP/1.1 200 OK\r\nX-Comfreysail-Request-Id: " + requestIdOf(head)
-            + "\r\nX-Comfreysail-Backend-Signature: s\r\nConnection: close\r\n\r\nbody");
-        return false;
+            + "\r\nX-Comfreysail-Backend-Signature: s\r\nContent-Length: "
+            + (isBrokenOff ? "9000000\r\n\r\n" + part : "4\r\n\r\nbody"));
+        return !isBrokenOff;
     });
+    StopAtScopeEnd const stop(*this);
     startDaemon();
     auto connection = daemon().connect();
-    connection.send(requestText("GET", "/read/1", "a1"));
+    auto first = requestText("GET", "/files/1", "a1");
+    if (!isBrokenOff)
+        first.insert(first.find("\r\n") + 2, "Connection: close\r\n");
+    connection.send(first);
     connection.send(requestText("POST", "/pay/1", "a2"));
-    CHECK(connection.readResponse().status() == 200);
+    auto const response = connection.readResponse();
+    CHECK(response.status() == 200);
+    CHECK(response.isComplete == !isBrokenOff);
     std::this_thread::sleep_for(300ms);
     for (auto const& head : target.server->heads())
         CHECK_THAT(head, !Catch::Matchers::Contains("X-Comfreysail-Request-Id: a2"));
 }
 
+// The counterpart: a response without a length does not close the caller's connection, so the order behind it runs once
+// and is answered.
+TEST_CASE_METHOD(EntryFixture, "Entry_OrderPipelinedBehindAResponseWithoutLength_RunsOnce")
+{
+    StopAtScopeEnd const stop(*this);
+    auto& target = addTarget("t1", [](RawConnection& connection, std::string const& head) {
+        std::this_thread::sleep_for(100ms);
+        connection.send("HTTP/1.1 200 OK\r\n" + signatureFields(head) + "Connection: close\r\n\r\nbody");
+        return false;
+    });
+    startDaemon();
+    auto connection = daemon().connect();
+    connection.send(requestText("GET", "/read/1", "a1"));
+    connection.send(requestText("POST", "/pay/1", "a2"));
+    for (auto const* id : { "a1", "a2" }) {
+        auto const response = connection.readResponse();
+        CHECK(response.field("X-Comfreysail-Request-Id") == id);
+        CHECK(response.body == "body");
+    }
+    CHECK(target.runs == 2);
+}
+
 // The target receives the remaining time of the caller's deadline, its own id, and the unchanged request.
 TEST_CASE_METHOD(EntryFixture, "Entry_Request_ReachesTheTargetUnchanged")
 {
