--- a/Tests/comfreysaild/TestEntryEndlessResponses.cpp
+++ b/Tests/comfreysaild/TestEntryEndlessResponses.cpp
@@ -198,15 +198,18 @@
     StopAtScopeEnd const stop(*this);
     play(start);
     CHECK(mostKilobytes() < smallestVmKilobytes);
+    if (start == chunkedStart)
+        return; // The next case checks the rest of this one.
     CHECK(endlessResponses() >= 100);
-    if (start != chunkedStart)
-        CHECK(isLookupServedInTime());
+    CHECK(isLookupServedInTime());
 }
 
-// The same lookup while the bodies come in chunks of eight bytes, each of which the daemon handles on its own.
+// The same with chunks of eight bytes, each of which the daemon handles on its own.
 TEST_CASE_METHOD(EndlessBodiesFixture, "Entry_ManyTinyChunksWithoutEnd_OtherLookupsAreServed")
 {
     StopAtScopeEnd const stop(*this);
     play(chunkedStart);
+    CHECK(mostKilobytes() < smallestVmKilobytes);
+    CHECK(endlessResponses() >= 100);
     CHECK(isLookupServedInTime());
 }
