LoadProber: Wait for late load responses of the last target

Cause: on one core with 100 busy processes the daemon's timers often fire in time while the target's threads wait for over 250 ms. The daemon then ejected its only target, refused the request that had asked it ("asked 1 of 0") and each later one ("asked 0 of 0") until the ejection of 300 ms and more ended, although the target was free.

Change: if a probe of an open connection reaches its limit and the service has no other eligible target of that version, the target is ejected as before, but its response is waited for until three quarters of the request's time have passed, so that a quarter is left for the work. A response ends the ejection. Requests that arrive meanwhile are refused at once, as before. A target that failed before and has not answered since is not waited for again; if there is no response, it is ejected for twice as long, so a silent target gets one such wait.

Unchanged: the limits while another target is eligible, refused and reset connections, the number of sends.

--- a/Services/comfreysaild/BufferedGet.cpp
+++ b/Services/comfreysaild/BufferedGet.cpp
@@ -55,9 +55,17 @@
     auto const executor = co_await HTTP::asio::this_coro::executor;
     auto const watchdog = HTTP::Watchdog::create(executor);
     bool hasTimedOut = false;
-    watchdog->armInSteps(limits.deadline, limits.maxUncountedSteps, [&hasTimedOut, &connection] {
+    auto const giveUp = [&hasTimedOut, &connection] {
         hasTimedOut = true;
         connection->close();
+    };
+    watchdog->armInSteps(limits.deadline, limits.maxUncountedSteps, [&] {
+        bool const isOpen = connection->openedAt() != Core::Instant {};
+        auto const later = isOpen && limits.onDeadline ? limits.onDeadline() : std::nullopt;
+        if (later)
+            watchdog->armInSteps(*later, limits.maxUncountedSteps, giveUp);
+        else
+            giveUp();
     });
     Core::Result<Core::Empty> result = Core::Empty {};
     bool const isNew = connection->openedAt() == Core::Instant {};
--- a/Services/comfreysaild/BufferedGet.h
+++ b/Services/comfreysaild/BufferedGet.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibHTTP/HTTP.h>
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -19,6 +20,9 @@
     Core::Duration transferTime {};
     /// How many steps of the wait do not count if this process got no processor time, see HTTP::SteppedWait.
     unsigned maxUncountedSteps { 0 };
+    /// Called once, when the deadline has passed on an open connection. Returns a later deadline, or std::nullopt to
+    /// end the exchange. Without it the exchange ends.
+    std::function<std::optional<Core::Instant>()> onDeadline {};
 };
 
 /// How far an exchange got.
--- a/Services/comfreysaild/LoadProber.cpp
+++ b/Services/comfreysaild/LoadProber.cpp
@@ -48,12 +48,14 @@
     size_t pending { 0 }; ///< Probes of all rounds that have not ended.
     size_t pendingInRound { 0 };
     unsigned round { 0 };
+    Instant lateUntil {};
     bool waitsForAll { false }; ///< The wait lasts until the probes of all rounds have ended.
 };
 
-LoadProber::Session::Session(asio::io_context& context, std::function<bool()> isSatisfied)
+LoadProber::Session::Session(asio::io_context& context, std::function<bool()> isSatisfied, Instant lateUntil)
     : m_state(std::make_shared<State>(State { asio::steady_timer(context), std::move(isSatisfied) }))
 {
+    m_state->lateUntil = lateUntil;
 }
 
 // `isSatisfied` refers to the request, which may end before the last probe does.
@@ -97,41 +99,8 @@
 awaitable<void> LoadProber::probeOne(
     std::string id, std::string healthPath, std::shared_ptr<Session::State> session, unsigned round)
 {
-    if (auto const* const record = m_state.directory.find(id)) {
-        auto const target = record->target;
-        HTTP::Endpoint const endpoint { target.address, target.port };
-        auto const startedAt = Core::monotonicNow();
-        auto const pauses = m_state.pauses.noteTick(Core::suspendAwareNow());
-        auto outcome = Outcome::Outdated;
-        for (unsigned attempt = 0; attempt < maxAttempts && outcome != Outcome::Responded; ++attempt) {
-            // A pooled connection may be dead although the target works, so a failed probe is repeated on a new one.
-            auto connection = outcome == Outcome::Failed
-                ? nullptr
-                : m_pool.take(endpoint, HTTP::ReusePolicy::Any, Core::monotonicNow());
-            bool const isNew = !connection;
-            // Without room for a connection, nothing is learned about the target.
-            if (isNew && !m_pool.makeRoom(HTTP::ConnectionUse::Probe))
-                break;
-            if (isNew)
-                connection = m_pool.create(endpoint);
-            outcome = co_await exchange(connection, target, healthPath);
-            if (isNew && connection->openedAt() != Instant {})
-                countTargetConnection(m_state, "probe");
-            if (!isNew || outcome != Outcome::Failed)
-                continue;
-            // After a pause of this process, a missing response says nothing about the target.
-            bool const wasPaused = m_state.pauses.noteTick(Core::suspendAwareNow()) != pauses;
-            if (!wasPaused)
-                m_state.directory.noteFault(id, Traffic::TargetFault::Unreachable, Core::monotonicNow());
-            Telemetry::EventLine("load_probe_failed")
-                .add("target", id)
-                .add("connected", connection->openedAt() != Instant {})
-                .add("took_ms", Core::toMilliseconds(Core::monotonicNow() - startedAt))
-                .add("process_was_paused", wasPaused)
-                .logInfo();
-            break;
-        }
-    }
+    if (auto const* const record = m_state.directory.find(id))
+        co_await probeTarget(record->target, std::move(healthPath), session->lateUntil);
     --session->pending;
     if (round == session->round)
         --session->pendingInRound;
@@ -140,6 +109,68 @@
         session->timer.cancel();
 }
 
+awaitable<void> LoadProber::probeTarget(Traffic::RegisteredTarget target, std::string healthPath, Instant lateUntil)
+{
+    HTTP::Endpoint const endpoint { target.address, target.port };
+    ProbeStart const start { Core::monotonicNow(), m_state.pauses.noteTick(Core::suspendAwareNow()),
+        hasFailed(target) };
+    auto outcome = Outcome::Outdated; // Nothing is known of the target yet.
+    for (unsigned attempt = 0; attempt < maxAttempts && outcome != Outcome::Responded; ++attempt) {
+        // A pooled connection may be dead although the target works, so a failed probe is repeated on a new one.
+        auto connection = outcome == Outcome::Failed
+            ? nullptr
+            : m_pool.take(endpoint, HTTP::ReusePolicy::Any, Core::monotonicNow());
+        if (connection) {
+            outcome = co_await exchange(std::move(connection), target, healthPath);
+            continue;
+        }
+        // Without room for a connection, nothing is learned about the target.
+        if (!m_pool.makeRoom(HTTP::ConnectionUse::Probe))
+            co_return;
+        connection = m_pool.create(endpoint);
+        bool isWaitedFor = false;
+        // Without another target the request would be refused now, although this one may merely have had no processor
+        // time. A target that failed before and has not answered since is not waited for again.
+        std::function<std::optional<Instant>()> onDeadline = [&]() -> std::optional<Instant> {
+            isWaitedFor = !start.hadFailed && !hasOtherTarget(target) && Core::monotonicNow() < lateUntil;
+            if (!isWaitedFor)
+                return std::nullopt;
+            noteFailedProbe(target, start, true);
+            return lateUntil;
+        };
+        outcome = co_await exchange(connection, target, healthPath, std::move(onDeadline));
+        bool const isConnected = connection->openedAt() != Instant {};
+        if (isConnected)
+            countTargetConnection(m_state, "probe");
+        if (outcome != Outcome::Failed)
+            continue;
+        bool const hasAnsweredAnother = isWaitedFor && !hasFailed(target);
+        if (!hasAnsweredAnother)
+            noteFailedProbe(target, start, isConnected);
+        co_return;
+    }
+}
+
+void LoadProber::noteFailedProbe(Traffic::RegisteredTarget const& target, ProbeStart const& start, bool isConnected)
+{
+    // After a pause of this process, a missing response says nothing about the target.
+    bool const wasPaused = m_state.pauses.noteTick(Core::suspendAwareNow()) != start.pauses;
+    if (!wasPaused)
+        m_state.directory.noteFault(target.id, Traffic::TargetFault::Unreachable, Core::monotonicNow());
+    Telemetry::EventLine("load_probe_failed")
+        .add("target", target.id)
+        .add("connected", isConnected)
+        .add("took_ms", Core::toMilliseconds(Core::monotonicNow() - start.at))
+        .add("process_was_paused", wasPaused)
+        .logInfo();
+}
+
+bool LoadProber::hasFailed(Traffic::RegisteredTarget const& target) const
+{
+    auto const* const record = m_state.directory.find(target.id);
+    return record && record->failureStreak > 0;
+}
+
 awaitable<bool> LoadProber::isResponding(Traffic::RegisteredTarget target, std::string healthPath)
 {
     HTTP::Endpoint const endpoint { target.address, target.port };
@@ -153,17 +184,35 @@
     co_return outcome != Outcome::Failed;
 }
 
+bool LoadProber::hasOtherTarget(Traffic::RegisteredTarget const& target) const
+{
+    auto const eligible
+        = m_state.directory.eligible(target.service, target.version, m_state.zonesOutOfService, Core::monotonicNow());
+    return std::ranges::any_of(eligible, [&](auto const* record) { return record->target.id != target.id; });
+}
+
 awaitable<LoadProber::Outcome> LoadProber::exchange(std::shared_ptr<HTTP::ClientConnection> connection,
-    Traffic::RegisteredTarget const& target, std::string const& healthPath)
+    Traffic::RegisteredTarget const& target, std::string const& healthPath,
+    std::function<std::optional<Instant>()> onDeadline)
 {
     auto const sentAt = Core::monotonicNow();
-    BufferedGetLimits const limits {
+    bool isLate = false;
+    BufferedGetLimits limits {
         .maxBodyBytes = maxProbeBodyBytes, .deadline = sentAt + probeTimeout, .maxUncountedSteps = maxUncountedSteps
     };
+    if (onDeadline) {
+        limits.onDeadline = [&isLate, &onDeadline] {
+            isLate = true;
+            return onDeadline();
+        };
+    }
     auto const exchange = co_await bufferedGet(m_pool, std::move(connection), healthPath, limits);
     auto const& response = exchange.response;
     // A load report that arrived while the process was paused is outdated.
     bool const isOutdated = exchange.headWait + exchange.bodyTime > maxReadDelay;
+    // Before the response is looked at, which may eject the target again.
+    if (response && !isOutdated && isLate)
+        m_state.directory.noteAnswered(target.id);
     if (response && !isOutdated)
         noteAnswer(target, response->head, sentAt);
     m_state.metrics.counter("comfreysail_load_questions_total", { { "answered", response ? "true" : "false" } }).add();
--- a/Services/comfreysaild/LoadProber.h
+++ b/Services/comfreysaild/LoadProber.h
@@ -16,7 +16,9 @@
     class Session {
     public:
         /// `isSatisfied` is called after each probe and ends the wait when it returns true.
-        Session(boost::asio::io_context&, std::function<bool()> isSatisfied);
+        /// If no target is left because the probed ones did not respond in time, responses are waited for until
+        /// `lateUntil`.
+        Session(boost::asio::io_context&, std::function<bool()> isSatisfied, Core::Instant lateUntil);
         ~Session();
         Session(Session const&) = delete;
         Session& operator=(Session const&) = delete;
@@ -51,8 +53,24 @@
 
     HTTP::awaitable<void> probeOne(
         std::string target, std::string healthPath, std::shared_ptr<Session::State>, unsigned round);
-    HTTP::awaitable<Outcome> exchange(
-        std::shared_ptr<HTTP::ClientConnection>, Traffic::RegisteredTarget const&, std::string const& healthPath);
+    /// What was known when a probe began.
+    struct ProbeStart {
+        Core::Instant at;
+        unsigned pauses { 0 };    ///< Number of pauses of this process.
+        bool hadFailed { false }; ///< The target had failed and not answered since.
+    };
+
+    /// Probes the target until it responds or fails. If it is the last one of its service, its response is waited for
+    /// until `lateUntil`.
+    HTTP::awaitable<void> probeTarget(Traffic::RegisteredTarget, std::string healthPath, Core::Instant lateUntil);
+    void noteFailedProbe(Traffic::RegisteredTarget const&, ProbeStart const&, bool isConnected);
+    /// Returns true if the target failed and has not answered since.
+    bool hasFailed(Traffic::RegisteredTarget const&) const;
+    /// `onDeadline` is that of BufferedGetLimits. A response after it was called ends the target's ejection.
+    HTTP::awaitable<Outcome> exchange(std::shared_ptr<HTTP::ClientConnection>, Traffic::RegisteredTarget const&,
+        std::string const& healthPath, std::function<std::optional<Core::Instant>()> onDeadline = {});
+    /// Returns true if another target can serve the requests of one that does not respond.
+    bool hasOtherTarget(Traffic::RegisteredTarget const&) const;
     void noteAnswer(Traffic::RegisteredTarget const&, HTTP::ResponseHead const&, Core::Instant sentAt);
 
     boost::asio::io_context& m_context;
--- a/Services/comfreysaild/TargetSelector.cpp
+++ b/Services/comfreysaild/TargetSelector.cpp
@@ -22,6 +22,8 @@
 // Timeout of one round of load probes. A probe takes one or two round trips inside a region.
 constexpr auto probeRoundTimeout = 40ms;
 constexpr auto freshRowsPollInterval = 10ms;
+// A request waits for late load responses of the only target, but leaves this part of its time to the work.
+constexpr int partOfTimeForWork = 4;
 // A request that leaves its target to more urgent ones needs an estimate of the service's spare capacity and no better
 // target.
 constexpr unsigned maxRoundsIfHeldBack = 2;
@@ -199,7 +201,8 @@
         return choice && choice->cost <= options.goodEnoughCost;
     };
     std::vector<std::string> probed;
-    LoadProber::Session session(m_context, isGoodEnough);
+    auto const lateUntil = request.deadline - (request.deadline - request.arrivedAt) / partOfTimeForWork;
+    LoadProber::Session session(m_context, isGoodEnough, lateUntil);
     StopSignal::Scope const scope(request.stopSignal, [&session] { session.stopWaiting(); });
     for (unsigned round = 0; round < options.maxRounds; ++round) {
         auto const eligible = eligibleNow();
--- a/Tests/comfreysaild/TestEntryStarvation.cpp
+++ b/Tests/comfreysaild/TestEntryStarvation.cpp
@@ -96,3 +96,42 @@
     CHECK(target.server->requests() == 1);
     CHECK(target.runs == 0);
 }
+
+// Guards against refusing a request, and all others while the target is ejected, because the only target got no
+// processor time and responded to the first load probe after its limit of 250 ms.
+TEST_CASE_METHOD(EntryFixture, "EntryStarvation_OnlyTargetRespondsLate_RequestWaitsForIt")
+{
+    auto const [method, path]
+        = GENERATE(table<std::string, std::string>({ { "GET", "/read/1" }, { "POST", "/pay/1" } }));
+    CAPTURE(method);
+    auto& target = addTarget("t1", [](RawConnection& connection, std::string const& head) {
+        return connection.send(signedResponse(head, "whole"));
+    });
+    target.loadDelayMilliseconds = 400;
+    StopAtScopeEnd const stop(*this);
+    startDaemon();
+    CHECK(call(method, path).status() == 200);
+    target.loadDelayMilliseconds = 0;
+    CHECK(call(method, path).status() == 200);
+    CHECK(target.runs == 2);
+}
+
+// Guards against holding a request for a silent target while another target is known to be full: it is refused as soon
+// as the silent one is given up, and not after three quarters of its second.
+TEST_CASE_METHOD(EntryFixture, "EntryStarvation_OneTargetIsSilentAndTheOtherFull_RequestIsNotHeld")
+{
+    auto const refuse = [](RawConnection&, std::string const&) { return false; };
+    auto& silent = addTarget("t1", refuse);
+    silent.loadScript = [](RawConnection& connection, std::string const&) {
+        connection.waitForEnd(2s);
+        return false;
+    };
+    auto& full = addTarget("t2", refuse);
+    full.load = "2,4,2,100";
+    StopAtScopeEnd const stop(*this);
+    startDaemon();
+    auto const begin = std::chrono::steady_clock::now();
+    CHECK(call("GET", "/read/1").field("Comfreysail-Error") == "no_target_available");
+    CHECK(std::chrono::steady_clock::now() - begin < 700ms);
+    CHECK(silent.runs + full.runs == 0);
+}
