LibTraffic: Do not count tried targets among those that need room for a late retry

Cause, from the log of EntryKeys_EachKindOfSend beside 60 busy processes on one core: the first target refused the request 331 ms after it had arrived (latency target 300 ms), and the retry was refused although the second target was idle. A late request is sent only if three targets have room, or all if there are fewer. The target that had been tried was counted among all but never as one with room, so in a service of up to three eligible targets no late retry was ever sent. The machine's load only made the request late; the fault needs no load.

Change: only targets that were not tried are counted. In services with more targets than are needed nothing changes.

Tests, both seen to fail before: BestTarget_LateRetry_TargetsThatWereTriedAreNotNeeded ("none" for "other"), and EntryStarvation_TargetRefusesLate_RetryUsesTheIdleOne, as lookup and as order (503 for 200, 4 of 6 checks).

--- a/Libraries/LibTraffic/Placement.cpp
+++ b/Libraries/LibTraffic/Placement.cpp
@@ -170,9 +170,13 @@
 {
     std::optional<TargetChoice> best;
     unsigned withRoom = 0;
+    size_t usable = 0;
     for (auto const* record : candidates) {
+        if (isExcluded(*record, request))
+            continue;
+        ++usable;
         auto const age = now - record->loadMeasuredAt;
-        if (isExcluded(*record, request) || now < record->coldUntil || age > options.maxReportAgeForRoom)
+        if (now < record->coldUntil || age > options.maxReportAgeForRoom)
             continue;
         auto const cost = expectedCost(*record, request, options);
         if (cost)
@@ -183,9 +187,9 @@
     auto const minFraction = best ? minFractionWithRoom(*best, request, options) : 0;
     if (minFraction <= 0)
         return best;
-    auto const askable = std::min<size_t>(candidates.size(), options.targetsProbedPerRound * options.maxRounds);
+    auto const askable = std::min<size_t>(usable, options.targetsProbedPerRound * options.maxRounds);
     auto const minByFraction = static_cast<size_t>(std::ceil(minFraction * static_cast<double>(askable)));
-    auto const neededWithRoom = std::min(std::max(options.minTargetsWithRoomIfLate, minByFraction), candidates.size());
+    auto const neededWithRoom = std::min(std::max(options.minTargetsWithRoomIfLate, minByFraction), usable);
     return withRoom < neededWithRoom ? std::nullopt : best;
 }
 
--- a/Libraries/LibTraffic/Placement.h
+++ b/Libraries/LibTraffic/Placement.h
@@ -25,8 +25,9 @@
     double crossZoneDownloadCost { 3.0 };
     double crossZoneCost { 0.05 };
     /// A late request (one that can no longer finish within its latency target) is sent only if at least this many
-    /// targets have room, or all targets if there are fewer. This leaves the last free slots to requests that can still
-    /// finish in time: the throughput is the same, and more responses are on time.
+    /// targets have room, or all targets if there are fewer, apart from those that were tried. This leaves the last
+    /// free slots to requests that can still finish in time: the throughput is the same, and more responses are on
+    /// time.
     size_t minTargetsWithRoomIfLate { 3 };
     /// The same limit as a fraction of the targets that can be asked; the larger of the two applies.
     double minFractionWithRoomIfLate { 0.4 };
--- a/Tests/LibTraffic/TestPlacement.cpp
+++ b/Tests/LibTraffic/TestPlacement.cpp
@@ -96,6 +96,18 @@
     CHECK(best() != "none");
 }
 
+// Guards against refusing every late retry in a small service: the target that failed cannot have room for it.
+TEST_CASE_METHOD(PlacementFixture, "BestTarget_LateRetry_TargetsThatWereTriedAreNotNeeded")
+{
+    add("tried", { 0, 0, 2, 1 });
+    add("other", { 0, 0, 2, 1 });
+    request.isLate = true;
+    request.excludedTargets = { "tried" };
+    CHECK(best() == "other");
+    add("full", { 2, 0, 2, 1 });
+    CHECK(best() == "none");
+}
+
 // On a small VM the reports of several rounds are older than 25 ms before enough targets were asked. Late requests of a
 // service with 3,000 idle targets were refused for that reason ("asked 15 of 24, full 0, late").
 TEST_CASE_METHOD(PlacementFixture, "BestTarget_LateRequestAndReportsOfSeveralRounds_RoomOfAllRoundsCounts")
--- a/Tests/comfreysaild/TestEntryStarvation.cpp
+++ b/Tests/comfreysaild/TestEntryStarvation.cpp
@@ -116,6 +116,30 @@
     CHECK(target.runs == 2);
 }
 
+// Guards against refusing a late retry although the other target is idle: a late request leaves the last free slots to
+// others, and the target that had refused it counted as one without room.
+TEST_CASE_METHOD(EntryFixture, "EntryStarvation_TargetRefusesLate_RetryUsesTheIdleOne")
+{
+    auto const [method, path]
+        = GENERATE(table<std::string, std::string>({ { "GET", "/read/1" }, { "POST", "/pay/1" } }));
+    CAPTURE(method);
+    auto& refusing = addTarget("t1", [](RawConnection& connection, std::string const& head) {
+        std::this_thread::sleep_for(350ms); // Above the latency target of 300 ms.
+        return connection.send(wholeResponse("no",
+            "X-Comfreysail-Request-Id: " + requestIdOf(head) + "\r\nX-Comfreysail-Not-Executed: 1\r\n",
+            "503 Service Unavailable"));
+    });
+    auto& idle = addTarget("t2", [](RawConnection& connection, std::string const& head) {
+        return connection.send(signedResponse(head, "whole"));
+    });
+    idle.load = "1,0,2,150"; // Makes the daemon choose the other one first.
+    StopAtScopeEnd const stop(*this);
+    startDaemon();
+    CHECK(call(method, path).body == "whole");
+    CHECK(refusing.runs == 1);
+    CHECK(idle.runs == 1);
+}
+
 // Guards against holding a request for a silent target while another target is known to be full: it is refused as soon
 // as the silent one is given up, and not after three quarters of its second.
 TEST_CASE_METHOD(EntryFixture, "EntryStarvation_OneTargetIsSilentAndTheOtherFull_RequestIsNotHeld")
