--- a/Services/comfreysaild/BufferedGet.cpp
+++ b/Services/comfreysaild/BufferedGet.cpp
@@ -28,6 +28,7 @@
     auto head = co_await connection.readHead("GET");
     auto const headAt = Core::suspendAwareNow();
     exchange.hasHead = !isError(head);
+    exchange.headWait = watchdog.timeSinceLastStep();
     if (isError(head) || valueOf(head).fields.contains(Platform::headerNames().requestId))
         co_return exchange;
     BufferedResponse response { takeValue(std::move(head)), {} };
@@ -54,9 +55,17 @@
     auto const executor = co_await HTTP::asio::this_coro::executor;
     auto const watchdog = HTTP::Watchdog::create(executor);
     bool hasTimedOut = false;
-    watchdog->arm(limits.deadline, [&hasTimedOut, &connection] {
+    auto const giveUp = [&hasTimedOut, &connection] {
         hasTimedOut = true;
         connection->close();
+    };
+    watchdog->armInSteps(limits.deadline, limits.maxUncountedSteps, [&] {
+        bool const isOpen = connection->openedAt() != Core::Instant {};
+        auto const later = isOpen && limits.onDeadline ? limits.onDeadline() : std::nullopt;
+        if (later)
+            watchdog->armInSteps(*later, limits.maxUncountedSteps, giveUp);
+        else
+            giveUp();
     });
     Core::Result<Core::Empty> result = Core::Empty {};
     bool const isNew = connection->openedAt() == Core::Instant {};
