LibHTTP: Do not blame the target for a lack of descriptors

Cause: a connection that could not be opened because the process had no descriptor counted as a fault of the target, which was taken for unreachable, so the daemon refused requests after it had descriptors again.

Change: connect() tells errors of this process or VM apart (descriptors, ports, memory). A load probe, the check after a lost connection and a request learn nothing from them.

--- a/Libraries/LibHTTP/ClientConnection.cpp
+++ b/Libraries/LibHTTP/ClientConnection.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/write.hpp>
+#include <system_error>
 #include <utility>
 
 namespace Comfreysail::HTTP {
@@ -22,6 +23,13 @@
 constexpr size_t maxInlineSendBytes = 16 * 1024;
 constexpr size_t bodyBufferSize = 64 * 1024;
 
+bool isLocalError(ErrorCode const& error)
+{
+    return error == std::errc::too_many_files_open || error == std::errc::too_many_files_open_in_system
+        || error == std::errc::no_buffer_space || error == std::errc::not_enough_memory
+        || error == std::errc::address_not_available;
+}
+
 }
 
 ClientConnection::ClientConnection(
@@ -49,6 +57,7 @@
         co_return Error { ErrorKind::ConnectFailed, m_endpoint.address + " is not an IP address" };
     tcp::endpoint const endpoint(address, m_endpoint.port);
     auto const [connectError] = co_await m_stream.socket.async_connect(endpoint, useTuple);
+    m_hasFailedLocally = isLocalError(connectError);
     if (connectError || m_isClosed)
         co_return Error { ErrorKind::ConnectFailed, connectError.message() };
     m_stream.socket.set_option(tcp::no_delay(true), error);
--- a/Libraries/LibHTTP/ClientConnection.h
+++ b/Libraries/LibHTTP/ClientConnection.h
@@ -74,6 +74,10 @@
     /// response; nullopt if it did not.
     std::optional<Core::Duration> announcedIdleTimeout() const { return m_announcedIdleTimeout; }
 
+    /// True if connect() failed because this process or VM lacked descriptors, ports or memory. It says nothing about
+    /// the peer.
+    bool hasFailedLocally() const { return m_hasFailedLocally; }
+
     Core::Instant openedAt() const { return m_openedAt; }
     std::optional<Core::Instant> lastResponseAt() const { return m_lastResponseAt; }
     void noteResponse(Core::Instant now) { m_lastResponseAt = now; }
@@ -90,6 +94,7 @@
     OpenCount m_openCount; ///< nullptr once the connection is no longer counted.
     Stream m_stream;
     std::unique_ptr<ResponseReader> m_reader;
+    bool m_hasFailedLocally { false };
     Core::Instant m_openedAt {};
     std::optional<Core::Instant> m_lastResponseAt;
     std::optional<Core::Duration> m_announcedIdleTimeout;
--- a/Services/comfreysaild/LoadProber.cpp
+++ b/Services/comfreysaild/LoadProber.cpp
@@ -144,6 +144,10 @@
             countTargetConnection(m_state, "probe");
         if (outcome != Outcome::Failed)
             continue;
+        if (connection->hasFailedLocally()) {
+            Telemetry::EventLine("load_probe_not_sent").add("target", target.id).logInfo();
+            co_return;
+        }
         bool const hasAnsweredAnother = isWaitedFor && !hasFailed(target);
         if (!hasAnsweredAnother)
             noteFailedProbe(target, start, isConnected);
@@ -181,7 +185,7 @@
     auto const outcome = co_await exchange(connection, target, healthPath);
     if (connection->openedAt() != Instant {})
         countTargetConnection(m_state, "check");
-    co_return outcome != Outcome::Failed;
+    co_return outcome != Outcome::Failed || connection->hasFailedLocally();
 }
 
 bool LoadProber::hasOtherTarget(Traffic::RegisteredTarget const& target) const
--- a/Services/comfreysaild/TargetExchange.cpp
+++ b/Services/comfreysaild/TargetExchange.cpp
@@ -91,8 +91,10 @@
     watchdog->arm(Core::monotonicNow() + connectTimeout, close);
     auto const connected = co_await connection->connect();
     watchdog->disarm();
-    if (isError(connected))
+    if (isError(connected)) {
+        request.wasConnectRefusedHere = connection->hasFailedLocally();
         co_return nullptr;
+    }
     countTargetConnection(m_state, "request");
     co_return connection;
 }
--- a/Tests/comfreysaild/TestEntryLimits.cpp
+++ b/Tests/comfreysaild/TestEntryLimits.cpp
@@ -158,6 +158,24 @@
     CHECK(failures <= elapsed / acceptRetryDelay + 1);
 }
 
+// Guards against a daemon without descriptors that takes its targets for unreachable and refuses requests after it has
+// descriptors again.
+TEST_CASE_METHOD(EntryFixture, "Entry_NoDescriptorForAConnection_TargetStaysInUse")
+{
+    addTarget("t1", respondWhole);
+    StopAtScopeEnd const stop(*this);
+    auto& daemon = startDaemon();
+    auto client = daemon.connect();
+    client.send(requestText("GET", "/no-route", "a1"));
+    CHECK(client.readResponse().status() == 404);
+    daemon.setDescriptorLimit(3);
+    client.send(requestText("GET", "/read/1", "a2"));
+    CHECK(client.readResponse().status() == 503);
+    daemon.setDescriptorLimit(1024);
+    client.send(requestText("GET", "/read/1", "a3"));
+    CHECK(client.readResponse().body == "whole");
+}
+
 // Guards against a crowd of clients that takes the connections which the daemon needs for its own calls: it would go on
 // with old settings and targets.
 TEST_CASE_METHOD(EntryFixture, "Entry_ClientsAtTheirLimit_CallsToTheStoreGoOn")
