LibTraffic: Return load gradually after a target's pause

Cause: after the end of a target's Retry-After every daemon sent it requests by its load reports again, all that had waited for it at once. There was no decision on waiting for that end, and Retry-After for clients ignored how many others were told to come back.

Change: TargetPause replaces the end of the time in the directory's entries. After the end a daemon's sends follow its equal part of a rate that rises from a quarter to all of what the target can start, over twice the stated time, 3 s at most; the first send is delayed by a random part of one interval. decideOnPause() decides whether a request waits, and adviseReturn() when a refused client comes back. Counters tell what targets say of themselves. A target that never sends the fields has no pause, and nothing changes for it.

Ruled out: a probability of use that rises from a tenth refuses most requests of a single daemon while its only target is idle. A gate by load reports needs targets that report load.

--- a/Libraries/LibTraffic/DirectoryEntry.h
+++ b/Libraries/LibTraffic/DirectoryEntry.h
@@ -3,6 +3,7 @@
 #include <LibTraffic/RegisteredTarget.h>
 #include <LibTraffic/TargetLimit.h>
 #include <LibTraffic/TargetLoad.h>
+#include <LibTraffic/TargetPause.h>
 #include <optional>
 
 namespace Comfreysail::Traffic {
@@ -20,8 +21,9 @@
     bool hasLeft { false };       ///< Its address belongs to another target now, or it answered that it is draining.
     Core::Instant ejectedUntil {};
     unsigned failureStreak { 0 };
-    Core::Instant notBefore {};       ///< The target refused a request and wants none from this daemon until then.
-    std::optional<TargetLimit> limit; ///< Of the rate of requests, as the target named it in its responses.
+    std::optional<TargetPause> pause; ///< The target refused a request and wants none from this daemon for some time.
+    std::optional<Core::Instant> saidLeavingAt; ///< When it said that it is leaving.
+    std::optional<TargetLimit> limit;           ///< Of the rate of requests, as the target named it in its responses.
 
     bool operator==(DirectoryEntry const&) const = default;
 };
--- a/Libraries/LibTraffic/TargetDirectory.cpp
+++ b/Libraries/LibTraffic/TargetDirectory.cpp
@@ -72,8 +72,10 @@
     record.target = target;
     auto const statement = m_statements.find(target.id);
     if (statement != m_statements.end() && statement->second.startedAt == target.startedAt) {
-        record.hasLeft = record.hasLeft || statement->second.isLeaving;
-        record.notBefore = statement->second.notBefore;
+        record.saidLeavingAt = statement->second.saidLeavingAt;
+        record.hasLeft = record.hasLeft || record.saidLeavingAt;
+        if (!record.pause)
+            record.pause = statement->second.pause;
     }
     record.missingSince.reset();
     m_missing.erase(target.id);
@@ -144,12 +146,9 @@
     for (auto const& [rankAndId, record] : ranked->second) {
         if (result.size() + limited == m_options.maxTargetsPerDaemon)
             break;
-        auto const& target = record->target;
-        bool const isRegistered = !record->missingSince || now < m_incompleteUntil;
-        if (isRegistered && target.state == RegistrationState::Ready && !record->hasLeft && now >= record->ejectedUntil
-            && now >= record->notBefore && (!version || target.version == *version)
-            && !zonesOutOfService.contains(target.availabilityZone)) {
-            if (isSendAllowed(record->limit, now))
+        if (isInService(*record, version, zonesOutOfService, now) && now >= record->ejectedUntil
+            && !isPaused(record->pause, now)) {
+            if (isSendAllowed(record->limit, now) && isSendAllowed(record->pause, now))
                 result.push_back(record);
             else
                 ++limited;
@@ -158,6 +157,37 @@
     return result;
 }
 
+bool TargetDirectory::isInService(DirectoryEntry const& record, std::optional<std::string_view> version,
+    std::set<std::string, std::less<>> const& zonesOutOfService, Instant now) const
+{
+    auto const& target = record.target;
+    bool const isRegistered = !record.missingSince || now < m_incompleteUntil;
+    return isRegistered && target.state == RegistrationState::Ready && !record.hasLeft
+        && (!version || target.version == *version) && !zonesOutOfService.contains(target.availabilityZone);
+}
+
+std::vector<TargetPause> TargetDirectory::pausesOf(std::string_view service, std::optional<std::string_view> version,
+    std::set<std::string, std::less<>> const& zonesOutOfService, Instant now) const
+{
+    std::vector<TargetPause> result;
+    auto const ranked = m_rankedTargets.find(service);
+    if (ranked == m_rankedTargets.end())
+        return result;
+    for (auto const& [rankAndId, record] : ranked->second) {
+        if (!isInService(*record, version, zonesOutOfService, now))
+            continue;
+        if (!isSendAllowed(record->pause, now)) {
+            if (result.size() == m_options.maxTargetsPerDaemon)
+                continue;
+            result.push_back(*record->pause);
+            result.back().until = std::max(result.back().until, record->ejectedUntil);
+        } else if (now >= record->ejectedUntil && isSendAllowed(record->limit, now)) {
+            return {};
+        }
+    }
+    return result;
+}
+
 std::vector<DirectoryEntry const*> TargetDirectory::targetsOf(std::string_view service) const
 {
     std::vector<DirectoryEntry const*> result;
@@ -268,7 +298,8 @@
     if (ranked == m_rankedTargets.end())
         return std::nullopt;
     for (auto const& [rankAndId, entry] : ranked->second) {
-        if (!entry->limit || !isProbeDue(*entry->limit, now) || now < entry->ejectedUntil || now < entry->notBefore)
+        if (!entry->limit || !isProbeDue(*entry->limit, now) || now < entry->ejectedUntil
+            || isPaused(entry->pause, now))
             continue;
         record(rankAndId.second)->limit->probedAt = now;
         return entry->target.id;
@@ -281,6 +312,10 @@
     auto* const found = record(id);
     if (found && found->limit)
         found->limit = withSend(*found->limit, limitDivisorOf(*found, daemons), now);
+    if (found && found->pause) {
+        found->pause = withSend(*found->pause, now);
+        statementOf(found->target).pause = found->pause;
+    }
 }
 
 size_t TargetDirectory::limitedTargets(std::string_view service, Instant now) const
@@ -292,22 +327,46 @@
         ranked->second, [now](auto const& item) { return !isSendAllowed(item.second->limit, now); }));
 }
 
-void TargetDirectory::noteLeaving(std::string_view id)
+StatedExclusions TargetDirectory::statedExclusions(std::string_view service, Instant now) const
+{
+    StatedExclusions result;
+    auto const ranked = m_rankedTargets.find(service);
+    if (ranked == m_rankedTargets.end())
+        return result;
+    for (auto const& [rankAndId, record] : ranked->second) {
+        if (record->saidLeavingAt) {
+            ++result.leaving;
+            result.oldestAt = std::min(result.oldestAt, *record->saidLeavingAt);
+        } else if (!isSendAllowed(record->pause, now)) {
+            ++(isPaused(record->pause, now) ? result.waiting : result.returning);
+            result.oldestAt = std::min(result.oldestAt, record->pause->toldAt);
+        } else if (!isSendAllowed(record->limit, now)) {
+            ++result.limited;
+            result.oldestAt = std::min(result.oldestAt, record->limit->namedAt);
+        }
+    }
+    return result;
+}
+
+void TargetDirectory::noteLeaving(std::string_view id, Instant now)
 {
     auto* const found = record(id);
     if (!found)
         return;
     found->hasLeft = true;
-    statementOf(found->target).isLeaving = true;
+    found->saidLeavingAt = found->saidLeavingAt.value_or(now);
+    statementOf(found->target).saidLeavingAt = found->saidLeavingAt;
 }
 
-void TargetDirectory::noteNotBefore(std::string_view id, Instant until)
+void TargetDirectory::notePause(
+    std::string_view id, Duration stated, Duration typicalWork, size_t daemons, double uniform, Instant now)
 {
     auto* const found = record(id);
-    if (!found)
+    if (!found || stated.count() <= 0 || (found->pause && found->pause->until >= now + stated))
         return;
-    found->notBefore = std::max(found->notBefore, until);
-    statementOf(found->target).notBefore = found->notBefore;
+    PausedTarget const target { found->target.slots, typicalWork, limitDivisorOf(*found, daemons) };
+    found->pause = makePause(stated, target, uniform, now);
+    statementOf(found->target).pause = found->pause;
 }
 
 TargetDirectory::Statement& TargetDirectory::statementOf(RegisteredTarget const& target)
@@ -328,7 +387,9 @@
     if (ranked == m_rankedTargets.end())
         return first;
     for (auto const& [rankAndId, record] : ranked->second) {
-        auto until = std::max(record->notBefore, record->ejectedUntil);
+        auto until = record->ejectedUntil;
+        if (!isSendAllowed(record->pause, now))
+            until = std::max(until, sendTime({ &*record->pause, 1 }, 0));
         if (!isSendAllowed(record->limit, now))
             until = std::max(until, record->limit->nextAllowed);
         bool const isExpected = record->target.state == RegistrationState::Ready && !record->hasLeft;
--- a/Libraries/LibTraffic/TargetDirectory.h
+++ b/Libraries/LibTraffic/TargetDirectory.h
@@ -34,6 +34,18 @@
     OtherTarget,   ///< The address now belongs to another target.
 };
 
+/// The targets of a service that get no requests now because of what they said.
+struct StatedExclusions {
+    size_t leaving { 0 };
+    size_t waiting { 0 };   ///< Want no requests for some time.
+    size_t returning { 0 }; ///< That time has passed, and their load rises gradually.
+    size_t limited { 0 };
+    Core::Instant oldestAt { Core::Instant::max() }; ///< When the oldest of these statements was made.
+
+    size_t total() const { return leaving + waiting + returning + limited; }
+    bool operator==(StatedExclusions const&) const = default;
+};
+
 /// All targets of the registry with this daemon's state for each of them.
 class TargetDirectory {
 public:
@@ -85,15 +97,24 @@
     void noteChosen(std::string_view id, size_t daemons, Core::Instant now);
     /// Returns the number of targets of a service whose limit allows no request now.
     size_t limitedTargets(std::string_view service, Core::Instant now) const;
-    /// The target refused a request and wants none from this daemon until then. That holds until it restarts, even if
-    /// its registration disappears and returns.
-    void noteNotBefore(std::string_view id, Core::Instant until);
+    /// Returns how many targets of a service get no requests now because of what they said.
+    StatedExclusions statedExclusions(std::string_view service, Core::Instant now) const;
+    /// The target refused a request and wants none from this daemon for the stated time. That holds until it restarts,
+    /// even if its registration disappears and returns. `typicalWork` is that of the refused request, zero if unknown;
+    /// `uniform` in [0, 1) is random. Ignored if the time is zero, or ends before an earlier one.
+    void notePause(std::string_view id, Core::Duration stated, Core::Duration typicalWork, size_t daemons,
+        double uniform, Core::Instant now);
+    /// Returns the pauses of a service's targets that allow no request now, as far as this daemon uses the targets, if
+    /// no target can be used until one of them ends. Otherwise returns none. A target that is ejected or whose limit
+    /// allows no request does not count.
+    std::vector<TargetPause> pausesOf(std::string_view service, std::optional<std::string_view> version,
+        std::set<std::string, std::less<>> const& zonesOutOfService, Core::Instant now) const;
     /// Returns when the first target of a service that is out of use for some time can be used again: because it
     /// refused requests until then, is limited or ejected. Returns std::nullopt if there is no such target.
     std::optional<Core::Instant> firstReturn(std::string_view service, Core::Instant now) const;
     /// The target said that it is leaving. It stays out of use until it restarts, even if its registration disappears
     /// and returns or still calls it ready.
-    void noteLeaving(std::string_view id);
+    void noteLeaving(std::string_view id, Core::Instant now);
 
     size_t size() const { return m_records.size(); }
 
@@ -104,10 +125,13 @@
     /// What a target said of itself that holds until it restarts.
     struct Statement {
         int64_t startedAt { 0 };
-        bool isLeaving { false };
-        Core::Instant notBefore {};
+        std::optional<Core::Instant> saidLeavingAt;
+        std::optional<TargetPause> pause;
     };
 
+    /// Returns true if the target is registered as ready, did not leave, and is of this version and a zone in service.
+    bool isInService(DirectoryEntry const&, std::optional<std::string_view> version,
+        std::set<std::string, std::less<>> const& zonesOutOfService, Core::Instant now) const;
     Statement& statementOf(RegisteredTarget const&);
     DirectoryEntry* record(std::string_view id);
     double limitDivisorOf(DirectoryEntry const&, size_t daemons) const;
--- a/Libraries/LibTraffic/Traffic.h
+++ b/Libraries/LibTraffic/Traffic.h
@@ -11,6 +11,7 @@
 #include <LibTraffic/EvidenceLedger.h>
 #include <LibTraffic/MoveJudge.h>
 #include <LibTraffic/MoveStart.h>
+#include <LibTraffic/PauseDecision.h>
 #include <LibTraffic/PauseDetector.h>
 #include <LibTraffic/Placement.h>
 #include <LibTraffic/ProbePreference.h>
@@ -28,6 +29,7 @@
 #include <LibTraffic/TargetDirectory.h>
 #include <LibTraffic/TargetLimit.h>
 #include <LibTraffic/TargetLoad.h>
+#include <LibTraffic/TargetPause.h>
 #include <LibTraffic/TargetSignals.h>
 #include <LibTraffic/TargetSubset.h>
 #include <LibTraffic/TrafficPlan.h>
--- a/Services/comfreysaild/EntryState.cpp
+++ b/Services/comfreysaild/EntryState.cpp
@@ -15,20 +15,30 @@
 }
 
 void noteSignals(EntryState& state, std::string const& target, Traffic::TargetSignals const& signals, bool isProbe,
-    Core::Instant sentAt, Core::Instant now)
+    Core::Instant sentAt, Core::Instant now, Core::Duration typicalWork)
 {
-    for (auto const& field : signals.invalidFields)
+    auto const count = [&](std::string const& signal) {
+        state.metrics.counter("comfreysail_target_signals_total", { { "signal", signal } }).add();
+    };
+    for (auto const& field : signals.invalidFields) {
         Telemetry::EventLine("target_signal_ignored").add("target", target).add("field", field).logWarning();
+        count("ignored");
+    }
+    thread_local std::mt19937 generator { std::random_device {}() };
+    auto const uniform = [] { return std::uniform_real_distribution<double>(0, 1)(generator); };
+    auto const daemons = state.sharedRows.table(Platform::Table::members).size();
     auto const* const record = state.directory.find(target);
     if (!record)
         return;
     if (signals.isLeaving && !record->hasLeft) {
-        state.directory.noteLeaving(target);
+        state.directory.noteLeaving(target, now);
+        count("leaving");
         Telemetry::EventLine("target_leaving").add("target", target).add("probe", isProbe).logInfo();
     }
     // A refused load probe says nothing about requests.
     if (signals.retryAfter && !isProbe) {
-        state.directory.noteNotBefore(target, now + *signals.retryAfter);
+        state.directory.notePause(target, *signals.retryAfter, typicalWork, daemons, uniform(), now);
+        count("not_before");
         Telemetry::EventLine("target_not_before")
             .add("target", target)
             .add("ms", std::chrono::duration_cast<std::chrono::milliseconds>(*signals.retryAfter).count())
@@ -36,17 +46,22 @@
     }
     auto const limitOf = [&] { return record->limit ? record->limit->requestsPerSecond : -1; };
     auto const before = limitOf();
-    thread_local std::mt19937 generator { std::random_device {}() };
-    auto const phase = std::uniform_real_distribution<double>(0, 1)(generator);
-    state.directory.noteLimit(target, signals.requestsPerSecond, isProbe, sentAt,
-        state.sharedRows.table(Platform::Table::members).size(), phase, now);
-    if (limitOf() != before)
-        Telemetry::EventLine("target_limit")
-            .add("target", target)
-            .add("requests_per_second", limitOf())
-            .add("before", before)
-            .add("probe", isProbe)
-            .logInfo();
+    state.directory.noteLimit(target, signals.requestsPerSecond, isProbe, sentAt, daemons, uniform(), now);
+    if (limitOf() == before)
+        return;
+    count(record->limit ? "limit" : "limit_ended");
+    Telemetry::EventLine("target_limit")
+        .add("target", target)
+        .add("requests_per_second", limitOf())
+        .add("before", before)
+        .add("probe", isProbe)
+        .logInfo();
+}
+
+Core::Duration typicalWorkOf(EntryState const& state, std::string const& route)
+{
+    auto const found = state.serviceTimes.find(route);
+    return found == state.serviceTimes.end() ? Core::Duration {} : found->second.typical();
 }
 
 void endMove(std::string const& service, MoveInProgress& progress, MoveState state)
--- a/Services/comfreysaild/EntryState.h
+++ b/Services/comfreysaild/EntryState.h
@@ -55,6 +55,7 @@
     Traffic::EvidenceLedger::Origin evidenceOrigin { std::random_device {}() };
     std::map<std::string, uint64_t, std::less<>> verdicts; ///< Revision of the move order judged bad, by service.
     Traffic::TargetDirectory directory;
+    std::map<std::string, Traffic::PauseQueue, std::less<>> pauseQueues; ///< By service.
     Traffic::PauseDetector pauses;
     bool hasReadTargets { false };
     Traffic::BodyBudget bodies;          ///< Memory for the bodies of callers' requests.
@@ -93,8 +94,12 @@
 void endMove(std::string const& service, MoveInProgress&, Traffic::MoveState);
 
 /// Applies what a target said of itself in its response to a request, or to a load probe, that was sent at `sentAt`.
+/// `typicalWork` is that of the request, zero if unknown.
 void noteSignals(EntryState&, std::string const& target, Traffic::TargetSignals const&, bool isProbe,
-    Core::Instant sentAt, Core::Instant now);
+    Core::Instant sentAt, Core::Instant now, Core::Duration typicalWork = {});
+
+/// The typical time of a request of the route at a target; zero if unknown.
+Core::Duration typicalWorkOf(EntryState const&, std::string const& route);
 
 /// The version that a request has to use, or std::nullopt if it may use any. An empty string means that no version is
 /// allowed. `uniform` is a random number in [0, 1).
--- a/Services/comfreysaild/RouteExplanation.cpp
+++ b/Services/comfreysaild/RouteExplanation.cpp
@@ -73,18 +73,38 @@
         return TargetExclusion::Zone;
     if (!versions.empty() && !versions.contains(target.version))
         return TargetExclusion::Version;
-    if (context.now < record.notBefore)
+    if (Traffic::isPaused(record.pause, context.now))
         return TargetExclusion::Wait;
     if (context.now < record.ejectedUntil)
         return TargetExclusion::Ejected;
+    if (!Traffic::isSendAllowed(record.pause, context.now))
+        return TargetExclusion::Return;
     return Traffic::isSendAllowed(record.limit, context.now) ? TargetExclusion::OtherDaemons : TargetExclusion::Limit;
 }
 
+/// When the target said that for which it is left out.
+std::optional<Instant> statedAt(DirectoryEntry const& record, TargetExclusion exclusion)
+{
+    switch (exclusion) {
+    case TargetExclusion::Leaving:
+        return record.saidLeavingAt;
+    case TargetExclusion::Wait:
+    case TargetExclusion::Return:
+        return record.pause->toldAt;
+    case TargetExclusion::Limit:
+        return record.limit->namedAt;
+    default:
+        return std::nullopt;
+    }
+}
+
 std::optional<Duration> timeUntilEnd(DirectoryEntry const& record, TargetExclusion exclusion, Instant now)
 {
     switch (exclusion) {
     case TargetExclusion::Wait:
-        return record.notBefore - now;
+        return record.pause->until - now;
+    case TargetExclusion::Return:
+        return Traffic::sendTime({ &*record.pause, 1 }, 0) - now;
     case TargetExclusion::Ejected:
         return record.ejectedUntil - now;
     case TargetExclusion::Limit:
@@ -118,6 +138,8 @@
     else if (isFull)
         result.exclusion = TargetExclusion::Full;
     result.excludedFor = timeUntilEnd(record, result.exclusion, context.now);
+    if (auto const stated = statedAt(record, result.exclusion))
+        result.statementAge = context.now - *stated;
     return result;
 }
 
--- a/Services/comfreysaild/RouteExplanation.h
+++ b/Services/comfreysaild/RouteExplanation.h
@@ -30,6 +30,7 @@
     Zone,         ///< Its availability zone is out of service.
     Version,      ///< A move between versions allows other versions only.
     Wait,         ///< It refused a request and wants none for some time.
+    Return,       ///< That time has passed, and its load rises gradually.
     Ejected,      ///< Requests to it failed.
     Limit,        ///< The rate that it named allows this daemon no request yet.
     OtherDaemons, ///< The service has more targets than one daemon uses.
@@ -49,7 +50,9 @@
     std::optional<double> cost;   ///< By the last load report; absent without one, or if that shows no room.
     bool isInSubset { false };
     TargetExclusion exclusion { TargetExclusion::None };
-    std::optional<Core::Duration> excludedFor; ///< For Wait, Ejected, Limit and Cold: the time until it ends.
+    std::optional<Core::Duration> excludedFor; ///< For Wait, Return, Ejected, Limit and Cold: the time until it ends.
+    /// Time since the target said that for which it is left out; absent if that is not why.
+    std::optional<Core::Duration> statementAge;
 
     bool operator==(TargetExplanation const&) const = default;
 };
--- a/Services/comfreysaild/RouteExplanationJson.cpp
+++ b/Services/comfreysaild/RouteExplanationJson.cpp
@@ -56,7 +56,7 @@
     return { { "id", target.id }, { "zone", target.availabilityZone }, { "version", target.version },
         { "in_subset", target.isInSubset }, { "load", loadJson(target) }, { "cost", orNull(target.cost) },
         { "left_out", textOrNull(exclusionName(target.exclusion)) },
-        { "left_out_for_ms", milliseconds(target.excludedFor) } };
+        { "left_out_for_ms", milliseconds(target.excludedFor) }, { "said_ms_ago", milliseconds(target.statementAge) } };
 }
 
 json::value capacityJson(std::optional<Overload::CapacityState> const& capacity)
@@ -103,8 +103,8 @@
 
 std::string_view exclusionName(TargetExclusion exclusion)
 {
-    constexpr std::array<std::string_view, 11> names { "", "leaving", "unregistered", "zone", "version", "wait",
-        "ejected", "limit", "other_daemons", "cold", "full" };
+    constexpr std::array<std::string_view, 12> names { "", "leaving", "unregistered", "zone", "version", "wait",
+        "return", "ejected", "limit", "other_daemons", "cold", "full" };
     return names.at(static_cast<size_t>(exclusion));
 }
 
--- a/Services/comfreysaild/TargetExchange.cpp
+++ b/Services/comfreysaild/TargetExchange.cpp
@@ -209,7 +209,8 @@
     auto signals = Platform::decodeTargetSignals(request.response->fields);
     if (request.response->status != unavailable)
         signals.retryAfter.reset();
-    noteSignals(m_state, target.id, signals, false, request.sentAt, Core::monotonicNow());
+    noteSignals(m_state, target.id, signals, false, request.sentAt, Core::monotonicNow(),
+        typicalWorkOf(m_state, request.route->name));
 }
 
 awaitable<bool> TargetExchange::readBody(EntryRequest& request, ClientConnection& connection)
--- a/Tests/LibTraffic/TestTargetDirectory.cpp
+++ b/Tests/LibTraffic/TestTargetDirectory.cpp
@@ -214,7 +214,7 @@
 TEST_CASE_METHOD(DirectoryFixture, "TargetDirectory_TargetSaidThatItLeaves_IsUsedOnlyAfterARestart")
 {
     directory.replaceAll({ target("a"), target("b") }, at(0s));
-    directory.noteLeaving("a");
+    directory.noteLeaving("a", at(0s));
     CHECK(eligible(0s) == Ids { "b" });
     directory.replaceAll({ target("a"), target("b") }, at(1s));
     CHECK(eligible(1s) == Ids { "b" });
@@ -234,8 +234,8 @@
 TEST_CASE_METHOD(DirectoryFixture, "TargetDirectory_TargetWantsNoRequestsForSomeTime_GetsNone")
 {
     directory.replaceAll({ target("a"), target("b") }, at(0s));
-    directory.noteNotBefore("a", at(5s));
-    directory.noteNotBefore("a", at(4s));
+    directory.notePause("a", 5s, 0s, 1, 0.5, at(0s));
+    directory.notePause("a", 4s, 0s, 1, 0.5, at(0s));
     directory.noteAnswered("a");
     CHECK(eligible(0s) == Ids { "b" });
     CHECK(directory.firstReturn("orders", at(0s)) == at(5s));
@@ -244,7 +244,7 @@
     CHECK(eligible(4900ms) == Ids { "b" });
     CHECK(eligible(5s) == Ids { "a", "b" });
     CHECK_FALSE(directory.firstReturn("orders", at(5s)));
-    directory.noteNotBefore("a", at(50s));
+    directory.notePause("a", 45s, 0s, 1, 0.5, at(5s));
     directory.applyChanges({ target("a", 2) }, {}, at(6s));
     CHECK(eligible(6s) == Ids { "a", "b" });
 }
