comfreysaild: Wait for the end of targets' pauses

Cause: if all targets of a service wanted no requests for some time, every request was refused at once, also if the first target could be used well before its deadline; clients were told the end of the first pause, all the same one.

Change: such a request waits until it can be sent after those that wait already and the clients that were told to come back, if its typical work then fits before its deadline and its wait since its arrival is at most an eighth of its latency target. Otherwise it is refused at once, not executed. A target that refused the request because of its pause may get it afterwards; the retry budget holds. Retry-After for clients follows the same order. A refusal names how many targets were left out by what they said, with the age of the oldest statement, and a counter has each reason.

Ruled out: trying other refusals again while targets are paused; if one target can be used, load decides as before.

--- a/Services/comfreysaild/ResponseSender.cpp
+++ b/Services/comfreysaild/ResponseSender.cpp
@@ -1,6 +1,7 @@
 #include "ResponseSender.h"
 
 #include "OverloadInput.h"
+#include "TargetPauseWait.h"
 #include <platform/Platform.h>
 
 namespace Comfreysail::Daemon {
@@ -150,8 +151,8 @@
     auto const reason = request.stopSignal.reason().value_or(error.kind);
     auto const latency = Core::monotonicNow() - request.arrivedAt;
     m_state.metrics.counter("comfreysail_refusals_total", { { "error", std::string(Core::errorName(reason)) } }).add();
-    Telemetry::EventLine("request_refused")
-        .add("request_id", request.requestId)
+    Telemetry::EventLine line("request_refused");
+    line.add("request_id", request.requestId)
         .add("service", request.service)
         .add("error", Core::errorName(reason))
         .add("detail", error.detail)
@@ -160,8 +161,13 @@
         .add("latency_ms", Core::toMilliseconds(latency))
         .add("rank", request.rank)
         .add("decision",
-            request.shedding ? Overload::describe(request.shedding->first, request.shedding->second) : std::string())
-        .logInfo();
+            request.shedding ? Overload::describe(request.shedding->first, request.shedding->second) : std::string());
+    bool const hasNoTarget = reason == ErrorKind::NoTargetAvailable || reason == ErrorKind::TargetShedRequest;
+    auto const leftOut
+        = hasNoTarget ? noteStatedExclusions(m_state, request.service, Core::monotonicNow()) : std::string();
+    if (!leftOut.empty())
+        line.add("left_out", leftOut);
+    line.logInfo();
     if (exchange.isResponseStarted() || reason == ErrorKind::CallerGone) {
         exchange.abort();
         co_return;
@@ -191,6 +197,14 @@
 
 Core::Duration ResponseSender::retryAdvice(EntryRequest const& request, Instant now)
 {
+    auto const timeLeft = request.callerDeadline ? std::optional(*request.callerDeadline - now) : std::nullopt;
+    if (auto const pauses = pausesOf(m_state, request, now); !pauses.empty()) {
+        auto& queue = m_state.pauseQueues[request.service];
+        auto const advice = Traffic::adviseReturn(pauses, queue.ahead(now), timeLeft, uniform(), now);
+        if (advice.hasPlace)
+            queue.noteReturn(now + advice.after, now);
+        return advice.after;
+    }
     std::optional<Core::Duration> untilReturn;
     auto const& directory = m_state.directory;
     // Targets that are merely full have room again within milliseconds.
@@ -201,7 +215,6 @@
     auto const input = overloadInputOf(m_state, request, now);
     if (input && input->capacity.isShort && !untilReturn)
         return Overload::retryAfter(*input, m_state.overload.options, uniform());
-    auto const timeLeft = request.callerDeadline ? std::optional(*request.callerDeadline - now) : std::nullopt;
     return Traffic::retryAfter(untilReturn, timeLeft, uniform());
 }
 
--- a/Services/comfreysaild/TargetSelector.cpp
+++ b/Services/comfreysaild/TargetSelector.cpp
@@ -2,6 +2,7 @@
 
 #include "OverloadInput.h"
 #include "PlacementInput.h"
+#include "TargetPauseWait.h"
 #include <algorithm>
 #include <platform/Platform.h>
 
@@ -90,7 +91,8 @@
         co_await waitForFreshRows(request);
         auto selected = co_await selectOnce(request);
         if (isError(selected) && errorOf(selected).kind == ErrorKind::NoTargetAvailable) {
-            bool const mayTryAgain = co_await holdIfShort(request);
+            auto const hasWaited = co_await waitForTargets(m_context, m_state, request);
+            bool const mayTryAgain = hasWaited ? *hasWaited : co_await holdIfShort(request);
             if (mayTryAgain)
                 continue;
         }
--- a/Tests/comfreysaild/TestEntryRouteExplanation.cpp
+++ b/Tests/comfreysaild/TestEntryRouteExplanation.cpp
@@ -305,6 +305,15 @@
     CHECK(explanation.at("refusal").at("error") == "no_target_available");
     CHECK(leftOut(explanation, "waits") == "wait");
     CHECK(targetOf(explanation, "waits")->at("left_out_for_ms").as_int64() > 20'000);
+    std::this_thread::sleep_for(100ms);
+    auto const later = explain("GET", "/read/1", validKey);
+    auto const age = targetOf(later, "waits")->at("said_ms_ago").as_int64();
+    CHECK(age >= 100);
+    CHECK(age + targetOf(later, "waits")->at("left_out_for_ms").as_int64() >= 29'990);
+    CHECK(age + targetOf(later, "waits")->at("left_out_for_ms").as_int64() <= 30'000);
+    auto const metrics = daemon().admin("/metrics").body;
+    CHECK(metrics.find("comfreysail_targets_left_out_total{reason=\"wait\"} 1") != std::string::npos);
+    CHECK(daemon().log().find("left_out=\"leaving=0 wait=1 return=0 limit=0 oldest_said_ms_ago=") != std::string::npos);
     CHECK(explain("GET", "/both/1", validKey).at("services").at(1).at("reason")
         == "the service has no registered target");
     CHECK(send("GET", "/read/2", validKey, "orders.test").status() == 503);
