comfreysail: Show what targets had said, with its age

Cause: explain and route did not tell when a target said that for which it was left out, and explain not what was said.

Result: statements from before a restart, ended limits, pauses that are over and later lines are left out, tested with a log of each. The test of route's table states the age.

--- a/Tests/comfreysail/TestComfreysail.cpp
+++ b/Tests/comfreysail/TestComfreysail.cpp
@@ -311,6 +311,36 @@
     CHECK(Tests::runProgram({ program, "explain" }).code == 2);
 }
 
+// Guards against an explanation of a refusal that does not show why its targets were left out, or shows what no longer
+// holds.
+TEST_CASE_METHOD(Fixture, "Tool_Explain_ShowsWhatTargetsHadSaidWithItsAge")
+{
+    auto const line = [](std::string const& time, std::string const& text) {
+        return "I20261204 10:00:" + time + " 7 EventLine.cpp:62] " + text + "\n";
+    };
+    auto const log = file("signals.log",
+        line("00.100000", "event=target_leaving target=before-restart probe=true")
+            + line("00.200000", "event=started vm_name=vm-1")
+            + line("01.000000", "event=target_leaving target=t1 probe=true")
+            + line("02.000000", "event=target_not_before target=over ms=100")
+            + line("03.000000", "event=target_limit target=t2 requests_per_second=2 before=-1 probe=false")
+            + line("03.500000", "event=target_limit target=ended requests_per_second=2 before=-1 probe=false")
+            + line("04.000000", "event=target_limit target=ended requests_per_second=-1 before=2 probe=false")
+            + line("09.000000", "event=target_not_before target=t3 ms=500")
+            + line("09.250000", "event=target_not_before target=t3 ms=1500")
+            + line("10.500000", "event=request_refused request_id=a1 left_out=\"wait=1\"")
+            + line("10.600000", "event=target_leaving target=later probe=true"));
+    auto const finished = Tests::runProgram({ COMFREYSAIL_BIN_DIR "/comfreysail", "explain", "a1", log });
+    CHECK(finished.code == 0);
+    CHECK(finished.output
+        == "believed by vm-1:\n    20261204 10:00:00.200000 vm-1 started vm_name=vm-1\n"
+           "    20261204 10:00:01.000000 vm-1 target_leaving target=t1 probe=true (said 9500 ms before)\n"
+           "    20261204 10:00:03.000000 vm-1 target_limit target=t2 requests_per_second=2 before=-1 probe=false "
+           "(said 7500 ms before)\n"
+           "    20261204 10:00:09.250000 vm-1 target_not_before target=t3 ms=1500 (said 1250 ms before)\n"
+           "steps:\n  20261204 10:00:10.500000 vm-1 request_refused left_out=wait=1\n");
+}
+
 namespace {
 
 struct RouteCase {
@@ -332,7 +362,7 @@
           {"id":"t1","zone":"z1","version":"v1","in_subset":false,"load":{"running":1,"waiting":0,"slots":2,
            "slowness":1.0,"age_ms":12,"sent_since":0},"cost":1.15,"left_out":null,"left_out_for_ms":null},
           {"id":"t2","zone":"z2","version":"v1","in_subset":false,"load":null,"cost":null,"left_out":"wait",
-           "left_out_for_ms":900}]}]})")
+           "left_out_for_ms":900,"said_ms_ago":600}]}]})")
         .as_object();
 }
 
@@ -390,7 +420,8 @@
     for (auto const* part : { "key needed, valid; department kaje80, rank 2\n", "service orders (share 1): sent\n",
              "best by present knowledge: t1 (cost 1.15)\n", "a request first probes",
              "  t1      z1    v1       1+0/2 x1  12      0     1.15  no      best\n",
-             "  t2      z2    v1       -         -       -     -     no      left out: wait for 900 ms\n" })
+             "  t2      z2    v1       -         -       -     -     no      left out: wait for 900 ms, ",
+             "left out: wait for 900 ms, said 600 ms ago\n" })
         CHECK_THAT(finished.output, Catch::Matchers::Contains(part));
     auto withJson = arguments;
     withJson.emplace_back("--json");
--- a/Utilities/comfreysail/ExplainCommand.cpp
+++ b/Utilities/comfreysail/ExplainCommand.cpp
@@ -3,6 +3,9 @@
 #include <LibTelemetry/EventText.h>
 #include <algorithm>
 #include <array>
+#include <cmath>
+#include <cstdlib>
+#include <ctime>
 #include <fstream>
 #include <iostream>
 #include <map>
@@ -17,6 +20,14 @@
 constexpr std::array<std::string_view, 8> stateEvents { "started", "settings_adopted", "zones_out", "move_ordered",
     "move_ended", "store_lost", "store_reached", "signal" };
 
+/// What targets said of themselves. The last event of each kind for a target was in effect until it expired.
+constexpr std::array<std::string_view, 3> targetEvents { "target_leaving", "target_not_before", "target_limit" };
+// Of more targets, those that said something last are shown.
+constexpr size_t maxTargetEvents = 20;
+// The return of a target's load takes at most this long after its time, see TargetPause.
+constexpr double maxReturnMilliseconds = 3750;
+constexpr double maxLimitAgeMilliseconds = 300'000;
+
 struct LogLine {
     EventText text;
     std::string daemon;
@@ -50,6 +61,37 @@
     return result;
 }
 
+/// Returns the time between two log lines, or std::nullopt if one of them has no time.
+std::optional<double> millisecondsBetween(LogLine const& earlier, LogLine const& later)
+{
+    auto const parse = [](std::string const& text) -> std::optional<double> {
+        std::tm fields {};
+        auto const* const end = strptime(text.c_str(), "%Y%m%d %H:%M:%S", &fields);
+        if (!end)
+            return std::nullopt;
+        double const fraction = *end == '.' ? std::strtod(end, nullptr) : 0;
+        return (static_cast<double>(timegm(&fields)) + fraction) * 1000;
+    };
+    auto const from = parse(earlier.text.time);
+    auto const to = parse(later.text.time);
+    return from && to ? std::optional(*to - *from) : std::nullopt;
+}
+
+double numberOf(LogLine const& line, std::string_view field)
+{
+    return std::strtod(std::string(line.text.field(field).value_or("0")).c_str(), nullptr);
+}
+
+/// Returns true if what the target said may have excluded it this long afterwards.
+bool isInEffect(LogLine const& statement, double ageMilliseconds)
+{
+    if (statement.text.event == "target_not_before")
+        return ageMilliseconds < numberOf(statement, "ms") + maxReturnMilliseconds;
+    if (statement.text.event == "target_limit")
+        return numberOf(statement, "requests_per_second") >= 0 && ageMilliseconds < maxLimitAgeMilliseconds;
+    return true;
+}
+
 std::string lineText(LogLine const& line, std::string_view indent)
 {
     return std::string(indent) + line.text.time + " " + line.daemon + " " + fieldsText(line.text) + "\n";
@@ -79,6 +121,37 @@
     return result;
 }
 
+/// Returns what targets had said to the step's daemon and was in effect at the step, with its age, in log order.
+std::string statementsBefore(std::vector<LogLine> const& lines, LogLine const& step)
+{
+    std::map<std::string, LogLine const*> latest;
+    for (auto const& line : lines) {
+        if (&line == &step)
+            break;
+        if (line.daemon != step.daemon)
+            continue;
+        if (line.text.event == "started")
+            latest.clear();
+        if (std::ranges::find(targetEvents, line.text.event) != targetEvents.end())
+            latest[line.text.event + " " + std::string(line.text.field("target").value_or(""))] = &line;
+    }
+    std::vector<std::pair<LogLine const*, double>> inEffect;
+    for (auto const& [topic, line] : latest) {
+        auto const age = millisecondsBetween(*line, step);
+        if (age && isInEffect(*line, *age))
+            inEffect.emplace_back(line, *age);
+    }
+    std::ranges::sort(inEffect, {}, [](auto const& item) { return item.first->number; });
+    if (inEffect.size() > maxTargetEvents)
+        inEffect.erase(inEffect.begin(), inEffect.end() - maxTargetEvents);
+    std::string text;
+    for (auto const& [line, age] : inEffect) {
+        text += lineText(*line, "    ");
+        text.insert(text.size() - 1, " (said " + std::to_string(std::llround(age)) + " ms before)");
+    }
+    return text;
+}
+
 }
 
 Report runExplain(Invocation const& invocation)
@@ -106,6 +179,7 @@
             report.text += "believed by " + line.daemon + ":\n";
             for (auto const* event : stateEventsBefore(lines, line))
                 report.text += lineText(*event, "    ");
+            report.text += statementsBefore(lines, line);
             report.text += "steps:\n";
             lastDaemon = line.daemon;
         }
--- a/Utilities/comfreysail/RouteCommand.cpp
+++ b/Utilities/comfreysail/RouteCommand.cpp
@@ -155,6 +155,8 @@
     auto note = leftOut == "-" ? std::string(id == best ? "best" : "usable") : "left out: " + leftOut;
     if (until != "-")
         note += " for " + until + " ms";
+    if (auto const said = target.text("said_ms_ago"); said != "-")
+        note += ", said " + said + " ms ago";
     return { id, target.text("zone"), target.text("version"), loadText(load), load.text("age_ms"),
         load.text("sent_since"), target.text("cost"), target.isTrue("in_subset") ? "yes" : "no", note };
 }
