FakeTarget: Send what the target says of itself

Cause: no fake could play Server-Leaving, Server-Limit and Retry-After.

Without the options the responses are as before.

Result: tested with each option and with none.

--- a/Tests/Fakes/FakeTarget/Session.cpp
+++ b/Tests/Fakes/FakeTarget/Session.cpp
@@ -221,6 +221,13 @@
         response.set(Core::Header::requestId, field(request, Core::Header::requestId));
         response.set(Core::Header::load, m_state.loadHeader(Core::monotonicNow()));
         response.set(TestContent::targetHeader, m_state.options.name);
+        auto const& options = m_state.options;
+        if (!options.leaving.empty())
+            response.set("Server-Leaving", options.leaving);
+        if (!options.limitField.empty())
+            response.set("Server-Limit", options.limitField);
+        if (!options.retryAfter.empty() && response.result() == http::status::service_unavailable)
+            response.set(http::field::retry_after, options.retryAfter);
         response.set(TestContent::checksumHeader,
             TestContent::requestChecksum(view(request.method_string()), path, request.body()));
         response.keep_alive(request.keep_alive());
--- a/Tests/Fakes/FakeTarget/TargetOptions.cpp
+++ b/Tests/Fakes/FakeTarget/TargetOptions.cpp
@@ -27,6 +27,9 @@
     add("download-rate", program_options::value(&options.downloadBytesPerSecond), "bytes per second of one download");
     add("cold-ms", program_options::value(&coldMilliseconds)->default_value(0),
         "warm-up time until the target can take its limit");
+    add("server-leaving", program_options::value(&options.leaving), "value of Server-Leaving in every response");
+    add("server-limit", program_options::value(&options.limitField), "value of Server-Limit in every response");
+    add("retry-after", program_options::value(&options.retryAfter), "value of Retry-After in every refusal");
     add("executions-file", program_options::value(&options.executionsFile),
         "file that executed idempotency keys are appended to");
     try {
--- a/Tests/Fakes/FakeTarget/TargetOptions.h
+++ b/Tests/Fakes/FakeTarget/TargetOptions.h
@@ -21,6 +21,11 @@
     uint64_t downloadBytesPerSecond { 100'000'000 };
     /// Warm-up time. The number of concurrent requests that the target can take grows to the limit over it.
     std::chrono::milliseconds coldTime { 0 };
+    /// Values of fields in which the target says something of itself. They are sent as they are, so that invalid ones
+    /// can be played; empty for none.
+    std::string leaving;        ///< Server-Leaving, in every response.
+    std::string limitField;     ///< Server-Limit, in every response.
+    std::string retryAfter;     ///< Retry-After, in every refusal.
     std::string executionsFile; ///< File that executions are appended to, so that the counts survive a crash.
 };
 
--- a/Tests/Fakes/TestFakeTarget/TestFakeTarget.cpp
+++ b/Tests/Fakes/TestFakeTarget/TestFakeTarget.cpp
@@ -180,6 +180,28 @@
     CHECK(shed["Comfreysail-Outcome"] == "not-run");
 }
 
+// Tests of a target that says something of itself need the fields as they are given, also invalid ones, and none
+// otherwise.
+TEST_CASE_METHOD(TargetFixture, "FakeTarget_SignalOptions_AreSentAsGiven")
+{
+    start();
+    CHECK(call(http::verb::get, "/status/1").count("Server-Leaving") == 0);
+    CHECK(call(http::verb::get, "/status/1").count("Server-Limit") == 0);
+    start({ "--server-leaving", "1", "--server-limit", "2.5x", "--retry-after", "0.75" });
+    for (auto const* path : { "/status/1", "/health" }) {
+        auto const answer = call(http::verb::get, path);
+        CHECK(answer.result_int() == 200);
+        CHECK(answer["Server-Leaving"] == "1");
+        CHECK(answer["Server-Limit"] == "2.5x");
+        CHECK(answer.count("Retry-After") == 0);
+    }
+    fault(R"({"fault":"drain"})");
+    auto const refusal = call(http::verb::get, "/status/1");
+    CHECK(refusal.result_int() == 503);
+    CHECK(refusal["Retry-After"] == "0.75");
+    CHECK(refusal["Server-Leaving"] == "1");
+}
+
 // An overloaded cold target must fail. Otherwise tests would not notice a daemon that ramps up its load too fast.
 TEST_CASE_METHOD(TargetFixture, "FakeTarget_OverloadedWhileCold_Fails")
 {
