TestComfreysaild: Check the times told to clients during a pause

Cause: no test with a real daemon showed that refused clients are told different times, and the test of explain named a statement from before a restart that it took for one of another daemon.

Change: 12 clients that are refused during a pause of 2 s are told to come back one after another. The log of the test of explain begins with the start of the same daemon. Without a valid statement, no decision about pauses is counted.

--- a/Tests/comfreysail/TestComfreysail.cpp
+++ b/Tests/comfreysail/TestComfreysail.cpp
@@ -319,7 +319,8 @@
         return "I20261204 10:00:" + time + " 7 EventLine.cpp:62] " + text + "\n";
     };
     auto const log = file("signals.log",
-        line("00.100000", "event=target_leaving target=before-restart probe=true")
+        line("00.050000", "event=started vm_name=vm-1")
+            + line("00.100000", "event=target_leaving target=before-restart probe=true")
             + line("00.200000", "event=started vm_name=vm-1")
             + line("01.000000", "event=target_leaving target=t1 probe=true")
             + line("02.000000", "event=target_not_before target=over ms=100")
--- a/Tests/comfreysaild/TestEntryTargetSignals.cpp
+++ b/Tests/comfreysaild/TestEntryTargetSignals.cpp
@@ -184,6 +184,35 @@
     CHECK(metrics.find("comfreysail_target_signals_total{signal=\"not_before\"} 2") != std::string::npos);
 }
 
+// Guards against refused clients that come back together, or before they can be sent.
+TEST_CASE_METHOD(EntryFixture, "Entry_ClientsAreRefusedDuringAPause_AreToldToComeBackOneAfterAnother")
+{
+    constexpr unsigned clients = 12;
+    static constexpr auto pause = 2s;
+    addTarget("t1",
+        [](RawConnection& connection, std::string const& head) { return connection.send(pauseResponse(head, pause)); });
+    StopAtScopeEnd const stop(*this);
+    startDaemon();
+    CHECK(call("GET", "/read/1").status() == 503);
+    auto const told = std::chrono::steady_clock::now();
+    std::vector<double> returns;
+    for (unsigned index = 0; index < clients; ++index) {
+        auto connection = daemon().connect();
+        connection.send(requestText("GET", "/read/1", "refused-" + std::to_string(index), {}, 60'000));
+        auto const response = connection.readResponse();
+        CHECK(response.status() == 503);
+        returns.push_back(std::chrono::duration<double>(std::chrono::steady_clock::now() - told).count()
+            + std::stod(response.field("Retry-After")));
+    }
+    // The daemon was told a moment before the first client was refused, and rounds to milliseconds.
+    CHECK(returns.front() >= 1.5);
+    // Two slots start 10 requests a second, as the work is assumed to be 200 ms, and fewer during the return.
+    CHECK(returns.back() >= 2 + 1.1);
+    CHECK(returns.back() <= 2 + 6);
+    for (size_t index = 1; index < returns.size(); ++index)
+        CHECK(returns[index] > returns[index - 1] - 0.1);
+}
+
 // Guards against all requests that waited for the end of a target's time and reach it at once, from several daemons.
 TEST_CASE_METHOD(EntryFixture, "Entry_ManyRequestsWaitedForATarget_ReachItGradually")
 {
@@ -268,6 +297,9 @@
         CHECK(metrics.find(counter + std::to_string(example.ignored * requests) + "\n") != std::string::npos);
     else
         CHECK(metrics.find(counter) == std::string::npos);
+    // Without a valid statement nothing is decided by it.
+    CHECK(metrics.find("comfreysail_target_pause_decisions_total") == std::string::npos);
+    CHECK(metrics.find("comfreysail_targets_left_out_total") == std::string::npos);
     CHECK((daemon().log().find("event=target_signal_ignored target=t1") != std::string::npos) == (example.ignored > 0));
 }
 
