--- a/Tests/comfreysaild/TestEntryTargetSignals.cpp
+++ b/Tests/comfreysaild/TestEntryTargetSignals.cpp
@@ -280,6 +280,8 @@
         { "Server-Limit: 99999999999999999999\r\n", 1 },
         { "Retry-After: -5\r\n", 1 },
         { "Retry-After: Fri, 31 Dec 2027 23:59:59 GMT\r\n", 1 },
+        // Values that a proxy joined.
+        { "Server-Leaving: 1, 1\r\nServer-Limit: 1, 2\r\nRetry-After: 30, 40\r\n", 3 },
         { "Retry-After: 30\r\n", 0 }, // Only in a refusal.
         { "Server-Limit: 999999.5\r\nServer-Leaving: 0\r\n", 0 },
     }));
