LibTraffic: Give the reason for the first part of the rate

Cause: the comment stated a time that was not measured.

Change: the comment gives the reason without a figure. No change of behaviour.

Result: the tests of TargetPause, ReturnAdvice and PauseDecision pass.

--- a/Libraries/LibTraffic/TargetPause.cpp
+++ b/Libraries/LibTraffic/TargetPause.cpp
@@ -16,7 +16,8 @@
 constexpr Duration maxReturnTime = std::chrono::seconds(3);
 // Daemons without a limit again are spread over this part of the return time.
 constexpr int returnTimePerSpreadOfEnds = 4;
-// Part of the full rate right after the pause. At a tenth, a target of three daemons stayed idle for some 100 ms.
+// Part of the full rate right after the pause. A lower one leaves the target of a few daemons idle for longer, as each
+// of them waits for its first send.
 constexpr double firstFraction = 0.25;
 constexpr Duration assumedWork = std::chrono::milliseconds(200);
 
