StoreFollower: Retry the store sooner without a source of rows

Cause: a daemon that is not in the member list is a follower and waited up to 5 s after a failed read of the store, since it expects a reader to pass rows on. If it has no seed that responds, nobody does, and a change is in force up to 5 s after the store's return instead of 2 to 3 s.

Change: such a daemon waits at most 1.5 s, and so does a seed that is not a member, since the others get their rows from it. Members, and daemons that are not members but have a seed that responds, keep the 5 s: many daemons may be in that state at a first start, and all of them would call a store that is down.

Ruled out: the shorter wait for every daemon that is not a member.

--- a/Services/comfreysaild/StoreFollower.cpp
+++ b/Services/comfreysaild/StoreFollower.cpp
@@ -67,6 +67,9 @@
 constexpr auto maxStoreBackoffAtStart = 2s;
 // May be long: the readers and standby readers retry sooner, and the other daemons get the rows from them.
 constexpr auto maxStoreBackoff = 5s;
+// Of a daemon that is not a member and gets no rows from others. A change has to be in force 2 s after the store's
+// return at the earliest, and a call and the polls before it take a part of that.
+constexpr auto maxStoreBackoffWithoutSource = 1500ms;
 
 Core::Duration randomUpTo(Core::Duration longest)
 {
@@ -170,6 +173,17 @@
     return !waitsForStandbyReaders || now - m_staleSince.value_or(now) >= Traffic::RelayOptions().standbyHeadStart;
 }
 
+Core::Duration StoreFollower::maxBackoffOfFollower() const
+{
+    if (!m_state.hasReadTargets)
+        return maxStoreBackoffAtStart;
+    // Readers pass rows on to the members, and seeds to daemons that are not members yet. Both must not read the store
+    // more often because of an outage. A seed that is not a member itself reads it for the others.
+    bool const isMember = std::ranges::find(m_members, m_self.name, &Traffic::RelayMember::name) != m_members.end();
+    bool const hasSource = m_lastPollResult == RelayResult::Stale && !isSeed();
+    return isMember || hasSource ? maxStoreBackoff : maxStoreBackoffWithoutSource;
+}
+
 bool StoreFollower::mayAdvanceMoves(Traffic::RelayRole role)
 {
     if (role != Traffic::RelayRole::Follower)
@@ -205,8 +219,7 @@
                 if (currentRole != Traffic::RelayRole::Follower)
                     m_moveController.judgeMoves();
                 if (currentRole == Traffic::RelayRole::Follower)
-                    m_storeBackoff += randomUpTo(
-                        (m_state.hasReadTargets ? maxStoreBackoff : maxStoreBackoffAtStart) - minStoreBackoff);
+                    m_storeBackoff += randomUpTo(maxBackoffOfFollower() - minStoreBackoff);
                 // A reader that cannot reach the store may get the rows from the other reader.
                 if (currentRole == Traffic::RelayRole::Reader)
                     isFresh = co_await pollOthers();
--- a/Services/comfreysaild/StoreFollower.h
+++ b/Services/comfreysaild/StoreFollower.h
@@ -23,6 +23,8 @@
     bool isSeed() const;
     Traffic::RelayRole role();
     bool mayReadStore(Traffic::RelayRole, Core::Instant now) const;
+    /// The longest wait after a failed read of the store, for a daemon that is neither a reader nor a standby reader.
+    Core::Duration maxBackoffOfFollower() const;
     bool mayAdvanceMoves(Traffic::RelayRole);
     void noteFresh();
     HTTP::awaitable<bool> pollOthers();
--- a/Tests/comfreysaild/TestEntryKeys.cpp
+++ b/Tests/comfreysaild/TestEntryKeys.cpp
@@ -269,8 +269,8 @@
     StopAtScopeEnd const stop(*this);
     startDaemon();
     CHECK(statusWithKey("key-of-vopu") == 200);
-    // A daemon reads from the store at the pace of a reader once it finds itself among the members; before, it waits up
-    // to 5 s after a failed read, since it expects a reader to pass rows on.
+    // The daemon is a reader once it finds itself among the members. EntryKeys_StoreOutageBeforeTheDaemonIsAMember_...
+    // has the case before that.
     REQUIRE(eventually(
         [&] { return daemon().admin("/metrics").body.find("comfreysail_members 1\n") != std::string::npos; }, 15s));
     setFaults(R"({"mode":"down"})");
@@ -285,6 +285,45 @@
     CHECK(statusWithKey("key-of-kaje") == 200);
 }
 
+// Guards against a daemon that expects rows from readers although none are known to it: while it is not a member, it
+// must read the store within 2 s of its return.
+TEST_CASE_METHOD(KeysFixture, "EntryKeys_StoreOutageBeforeTheDaemonIsAMember_KeysAreInForceSoonAfterIt", "[.failures]")
+{
+    addTarget("t1", recordAndRespond());
+    StopAtScopeEnd const stop(*this);
+    // Writes do not take effect, so the daemon does not become a member.
+    setFaults(R"({"mode":"late","delay_ms":600000})");
+    startDaemon();
+    for (int version = 3; version < 9; ++version) {
+        CAPTURE(version);
+        setFaults(R"({"mode":"down"})");
+        writeTenants(version, R"([{"name":"a","api-keys":["key-)" + std::to_string(version) + R"("]}])");
+        std::this_thread::sleep_for(1500ms);
+        setFaults(R"({"mode":"late","delay_ms":600000})");
+        std::this_thread::sleep_for(2s);
+        CHECK(statusWithKey("key-" + std::to_string(version - 1)) == 401);
+        CHECK(statusWithKey("key-" + std::to_string(version)) == 200);
+    }
+    CHECK(storeKeys("comfreysail-members").empty());
+}
+
+// Guards against more calls to a store that is down, from daemons that are not members but get rows from a seed.
+TEST_CASE_METHOD(KeysFixture, "EntryKeys_StoreOutageBeforeADaemonWithASeedIsAMember_ItReadsRarely", "[.failures]")
+{
+    setFaults(R"({"mode":"late","delay_ms":600000})");
+    auto const& seed = startDaemon();
+    auto const& daemon = startDaemon({ .vmName = "entry-2", .seedPorts = { seed.controlPort() } });
+    setFaults(R"({"mode":"down"})");
+    std::this_thread::sleep_for(16s);
+    auto const metrics = daemon.admin("/metrics").body;
+    CAPTURE(metrics);
+    auto const name = metrics.find("comfreysail_store_calls_total{table=\"op\",result=\"failed\"} ");
+    REQUIRE(name != std::string::npos);
+    // With up to 5 s between two calls, more than 8 come in one of a thousand runs; with up to 1.5 s there are
+    // about 11.
+    CHECK(std::stoul(metrics.substr(metrics.find("} ", name) + 2)) <= 8);
+}
+
 // A daemon that was paused while keys changed must look for newer settings before it decides on a key.
 TEST_CASE_METHOD(KeysFixture, "EntryKeys_KeysChangeWhileTheProcessIsPaused_NewSettingsDecide")
 {
