--- a/Tests/Support/DaemonProcess.cpp
+++ b/Tests/Support/DaemonProcess.cpp
@@ -108,15 +108,21 @@
     return ends;
 }
 
-/// Starts the program with its output going to a file, or to a pipe if its write end is given. Between fork() and
-/// execv() the child calls only async-signal-safe functions.
+/// Starts the program with its output going to a file, or to a pipe if its write end is given. `variables` are added to
+/// the environment. Between fork() and execve() the child calls only async-signal-safe functions.
 int startProgram(std::vector<std::string> const& arguments, std::filesystem::path const& output, int pipeEnd = -1,
-    std::optional<unsigned> descriptorLimit = std::nullopt)
+    std::optional<unsigned> descriptorLimit = std::nullopt, std::vector<std::string> const& variables = {})
 {
     std::vector<char*> pointers { const_cast<char*>(program.c_str()) };
     for (auto const& argument : arguments)
         pointers.push_back(const_cast<char*>(argument.c_str()));
     pointers.push_back(nullptr);
+    std::vector<char*> environment;
+    for (auto const& variable : variables)
+        environment.push_back(const_cast<char*>(variable.c_str()));
+    for (char** variable = environ; *variable; ++variable)
+        environment.push_back(*variable);
+    environment.push_back(nullptr);
     auto const outputPath = output.string();
     int const process = ::fork();
     if (process != 0)
@@ -128,7 +134,7 @@
         rlimit const limit { *descriptorLimit, *descriptorLimit };
         ::setrlimit(RLIMIT_NOFILE, &limit);
     }
-    ::execv(program.c_str(), pointers.data());
+    ::execve(program.c_str(), pointers.data(), environment.data());
     ::_exit(127);
 }
 
@@ -183,8 +189,12 @@
         m_fullPipe = ends[0];
         writingEnd = ends[1];
     }
-    m_process = startProgram(
-        { "--settings", (m_folder / "daemon.toml").string() }, m_folder / "log", writingEnd, options.descriptorLimit);
+    std::vector<std::string> variables;
+    if (options.hasSteppableClock)
+        variables = { "LD_PRELOAD=" COMFREYSAIL_BIN_DIR "/libClockShift.so",
+            "COMFREYSAIL_CLOCK_SHIFT_FILE=" + (m_folder / "clock-shift").string() };
+    m_process = startProgram({ "--settings", (m_folder / "daemon.toml").string() }, m_folder / "log", writingEnd,
+        options.descriptorLimit, variables);
     if (options.logsIntoFullPipe) {
         ::close(writingEnd);
         std::this_thread::sleep_for(std::chrono::seconds(1));
@@ -291,6 +301,13 @@
 
 void DaemonProcess::resume() const { ::kill(m_process, SIGCONT); }
 
+void DaemonProcess::stepClock(std::chrono::seconds shift) const
+{
+    // Renamed into place, so that the process never reads half of the number.
+    std::ofstream(m_folder / "next-clock-shift") << shift.count();
+    std::filesystem::rename(m_folder / "next-clock-shift", m_folder / "clock-shift");
+}
+
 void DaemonProcess::terminate() const { ::kill(m_process, SIGTERM); }
 
 int DaemonProcess::waitForExit(std::chrono::milliseconds timeout)
--- a/Tests/Support/DaemonProcess.h
+++ b/Tests/Support/DaemonProcess.h
@@ -2,6 +2,7 @@
 
 #include "RawConnection.h"
 #include "ScriptedTarget.h"
+#include <chrono>
 #include <filesystem>
 #include <optional>
 #include <string>
@@ -33,6 +34,7 @@
     bool logsIntoFullPipe { false }; ///< Whether the log goes to a full pipe that nobody reads.
     /// Limit of the process's open file descriptors (RLIMIT_NOFILE). Without it the process has that of the test.
     std::optional<unsigned> descriptorLimit;
+    bool hasSteppableClock { false }; ///< Whether stepClock() works. It preloads the library ClockShift.
 };
 
 /// A comfreysaild process with one service, "orders.test". Its routes are GET / (lookup), GET /files (download), POST /
@@ -66,6 +68,8 @@
     void terminate() const;
     void stop() const; ///< Pauses the process.
     void resume() const;
+    /// Sets the process's wall clock ahead of the true time, or behind it if negative. Steady clocks stay as they are.
+    void stepClock(std::chrono::seconds) const;
     void kill();
     /// Waits for the process to exit. Returns its exit code, or -1 if it does not exit in time or a signal ended it.
     int waitForExit(std::chrono::milliseconds = std::chrono::seconds(10));
--- a/Tests/comfreysaild/EntryFixture.cpp
+++ b/Tests/comfreysaild/EntryFixture.cpp
@@ -11,13 +11,6 @@
     "tls":false,"cold-start-s":3,"cold-per-s":4.8}],"limits":{"max-header-bytes":16384,"max-body-bytes":1000000,
     "header-timeout-s":3,"idle-timeout-s":15}})";
 
-size_t contentLengthOf(std::string const& head)
-{
-    std::string const name = "\r\nContent-Length: ";
-    auto const begin = head.find(name);
-    return begin == std::string::npos ? 0 : std::stoul(head.substr(begin + name.size()));
-}
-
 }
 
 EntryTarget::EntryTarget(std::string id, ScriptedTarget::Script script)
@@ -191,6 +184,13 @@
         + R"(","timeout-s":1,"target-latency-s":0.3,"priority":1,"service":"orders","max-attempts":2})";
 }
 
+size_t contentLengthOf(std::string const& head)
+{
+    std::string const name = "\r\nContent-Length: ";
+    auto const begin = head.find(name);
+    return begin == std::string::npos ? 0 : std::stoul(head.substr(begin + name.size()));
+}
+
 std::string requestIdOf(std::string const& head)
 {
     std::string const name = "X-Comfreysail-Request-Id: ";
--- a/Tests/comfreysaild/EntryFixture.h
+++ b/Tests/comfreysaild/EntryFixture.h
@@ -99,6 +99,9 @@
 /// The JSON text of a route of the service "orders".
 std::string routeText(std::string const& name, std::string const& prefix, std::string const& kind);
 
+/// The length of the body that a request head states; 0 if it states none.
+size_t contentLengthOf(std::string const& head);
+
 /// The request id in a request head.
 std::string requestIdOf(std::string const& head);
 
