LibUsage: Leave the duty to a collector with more counts

Cause: a holder that is paused for some seconds and resumes took the duty back with incomplete counts. Other daemons push to it again only when their back-off ends, but the pushes that they had given up during the pause were still in its sockets, so it seemed to hear of all members. In the trace entry-3 resumed just after the end of a window, fixed it 3.5 s later with "daemons=5", and lacked what one daemon had counted in the last 0.9 s of it: 245 of 275 requests. The rule of "fewer than half of the members" would also have let it report with nearly half of the daemons missing.

Change: a collector's response says of how many daemons it has heard; a candidate that has heard of fewer stands back by three positions, as it does below half. Pushes that are read within 0.5 s after a pause do not count as heard, and after a pause a candidate waits for another collector's response for up to two windows. The new field "heard" is optional, so daemons of both versions work together.

Ruled out: a fixed time after each pause. It would have to be as long as the longest back-off, and does not help a daemon that was cut off and not paused.

Not measured: many daemons, where a candidate stands back if it lacks more than one in 50 that another collector has heard of.

--- a/Libraries/LibUsage/UsageLedger.cpp
+++ b/Libraries/LibUsage/UsageLedger.cpp
@@ -9,6 +9,9 @@
 // Each daemon sends at least one push for each window.
 constexpr int64_t recentWindows = 2;
 constexpr auto maxSourceAge = std::chrono::minutes(2);
+// A collector may lack one daemon in this number compared with another. That is well below the allowed deviation of a
+// count, and a push is lost now and then where there are many daemons.
+constexpr size_t daemonsForOneMissing = 50;
 
 /// The clock of a sender may be slightly ahead.
 bool isKept(UsageLedger const& ledger, WindowId window, WindowId current)
@@ -74,8 +77,32 @@
 
 size_t recentSources(UsageLedger const& ledger, Core::Instant now)
 {
-    return static_cast<size_t>(
-        std::ranges::count_if(ledger.sources, [&](auto const& entry) { return isRecent(ledger, entry.second, now); }));
+    return static_cast<size_t>(std::ranges::count_if(ledger.sources, [&](auto const& entry) {
+        return isRecent(ledger, entry.second, now) && entry.second.heardAt >= ledger.trustedFrom;
+    }));
+}
+
+void notePause(UsageLedger& ledger, Core::Duration pushTimeout, Core::Instant now)
+{
+    ledger.trustedFrom = now + pushTimeout;
+}
+
+void noteOtherCollector(UsageLedger& ledger, size_t heard, Core::Instant now)
+{
+    ledger.heardByOther = heard;
+    ledger.heardByOtherAt = now;
+}
+
+bool hasCountsOfMost(UsageLedger const& ledger, size_t members, Core::Instant now)
+{
+    auto const heard = recentSources(ledger, now) + 1;
+    auto const recent = recentWindows * ledger.options.window;
+    if (2 * heard < members)
+        return false;
+    if (members > 1 && ledger.heardByOtherAt < ledger.trustedFrom && now - ledger.trustedFrom <= recent)
+        return false;
+    bool const isKnown = now - ledger.heardByOtherAt <= recent;
+    return !isKnown || heard + ledger.heardByOther / daemonsForOneMissing >= ledger.heardByOther;
 }
 
 }
--- a/Libraries/LibUsage/UsagePush.cpp
+++ b/Libraries/LibUsage/UsagePush.cpp
@@ -1,5 +1,6 @@
 #include <LibUsage/UsagePush.h>
 
+#include <algorithm>
 #include <boost/json.hpp>
 #include <charconv>
 
@@ -119,7 +120,7 @@
 
 std::string encodeReply(UsageReply const& reply)
 {
-    boost::json::object object { { "incarnation", reply.incarnation } };
+    boost::json::object object { { "incarnation", reply.incarnation }, { "heard", reply.heard } };
     if (reply.closed)
         object["closed"] = *reply.closed;
     if (reply.isCutOffFromStore)
@@ -138,6 +139,7 @@
         millisecondsField(*object, "offset_ms"), false };
     auto const* const cutOff = object->if_contains("cut_off");
     reply.isCutOffFromStore = cutOff && cutOff->is_bool() && cutOff->get_bool();
+    reply.heard = static_cast<size_t>(std::max<int64_t>(integerField(*object, "heard").value_or(0), 0));
     if (reply.incarnation.empty())
         return malformed("the reply lacks the incarnation");
     return reply;
--- a/Libraries/LibUsage/UsagePush.h
+++ b/Libraries/LibUsage/UsagePush.h
@@ -23,6 +23,7 @@
     std::optional<Core::Duration> agreedOffset; ///< True time minus store time.
     /// The collector's last call to the store failed, so another one may have to report.
     bool isCutOffFromStore { false };
+    size_t heard { 0 }; ///< Number of daemons, itself included, of which the collector has heard recently.
 
     bool operator==(UsageReply const&) const = default;
 };
--- a/Services/comfreysaild/UsagePusher.cpp
+++ b/Services/comfreysaild/UsagePusher.cpp
@@ -140,6 +140,7 @@
         confirmed = { reply.incarnation, {} };
     Usage::mergeCounts(confirmed.counts, sent);
     auto& usage = *m_state.usage;
+    Usage::noteOtherCollector(usage.collected, reply.heard, Core::monotonicNow());
     if (reply.closed)
         Usage::noteClosed(usage.duty, *reply.closed);
     if (reply.agreedOffset && !std::exchange(m_hasOffset, true))
--- a/Services/comfreysaild/UsageReporter.cpp
+++ b/Services/comfreysaild/UsageReporter.cpp
@@ -30,7 +30,7 @@
 // The longest wait between two decisions. The ranking may change meanwhile.
 constexpr Duration maxDutyWait = 250ms;
 constexpr auto pauseOfNoCandidate = 1s;
-// The positions by which a candidate stands back while fewer than half of the daemons send it their counts.
+// The positions by which a candidate stands back while it does not get the counts of all that another one gets.
 constexpr size_t positionsWithoutCounts = 3;
 // A push of 74 departments and four windows takes about 8 KB.
 constexpr size_t maxPushBytes = size_t { 256 } * 1024;
@@ -135,7 +135,8 @@
     auto const now = Core::monotonicNow();
     Usage::mergePush(m_usage.collected, valueOf(push), Usage::trueTimeAt(m_usage.clock, now), now);
     Usage::UsageReply const reply { m_usage.incarnation, m_usage.duty.closed,
-        agreedOffset(m_usage, m_pusher.memberCount(), Core::wallNow(), now), m_usage.duty.isCutOffFromStore };
+        agreedOffset(m_usage, m_pusher.memberCount(), Core::wallNow(), now), m_usage.duty.isCutOffFromStore,
+        Usage::recentSources(m_usage.collected, now) + 1 };
     co_await exchange.respond(std::move(head), Usage::encodeReply(reply));
 }
 
@@ -155,9 +156,13 @@
 
 void UsageReporter::updatePosition(size_t position)
 {
-    // This daemon may be cut off from most others while these send their counts to another candidate.
-    auto const heard = Usage::recentSources(m_usage.collected, Core::monotonicNow()) + 1;
-    bool const hasCounts = 2 * heard >= m_pusher.memberCount();
+    auto const now = Core::monotonicNow();
+    auto const pauses = m_state.pauses.noteTick(Core::suspendAwareNow());
+    if (std::exchange(m_pauses, pauses) != pauses)
+        Usage::notePause(m_usage.collected, pushTimeout, now);
+    // While this daemon is paused or cut off from others, these send their counts to other candidates, and they resume
+    // sending to this one only when their back-off ends.
+    bool const hasCounts = Usage::hasCountsOfMost(m_usage.collected, m_pusher.memberCount(), now);
     m_usage.duty.position = hasCounts ? position : position + positionsWithoutCounts;
 }
 
--- a/Services/comfreysaild/UsageReporter.h
+++ b/Services/comfreysaild/UsageReporter.h
@@ -45,6 +45,7 @@
     UsagePusher m_pusher;
     Platform::UsageClient m_platform;
     std::minstd_rand m_generator { std::random_device {}() };
+    unsigned m_pauses { 0 };                   ///< Pauses of the process that were noticed.
     std::optional<Usage::WindowId> m_askedFor; ///< The window for which the collectors were asked before a read.
 };
 
--- a/Tests/LibUsage/TestUsageCounts.cpp
+++ b/Tests/LibUsage/TestUsageCounts.cpp
@@ -100,13 +100,53 @@
     CHECK(ledger.sources.empty());
 }
 
+// Others push to a daemon that was paused only when their back-off ends, which takes up to 30 s.
+TEST_CASE_METHOD(CountsFixture, "UsageLedger_OtherCollectorHasHeardOfMoreDaemons_CountsAreNotThoseOfMost")
+{
+    for (auto const* const name : { "vm-1", "vm-2", "vm-3" })
+        push(name, "a", {}, start + 1s);
+    CHECK(hasCountsOfMost(ledger, 5, start + 2s));
+    CHECK_FALSE(hasCountsOfMost(ledger, 9, start + 2s));
+    noteOtherCollector(ledger, 5, start + 2s);
+    CHECK_FALSE(hasCountsOfMost(ledger, 5, start + 2s));
+    push("vm-4", "a", {}, start + 3s);
+    CHECK(hasCountsOfMost(ledger, 5, start + 3s));
+    // Of a hundred daemons one now and then loses a push.
+    for (unsigned number = 5; number < 100; ++number)
+        push("vm-" + std::to_string(number), "a", {}, start + 3s);
+    noteOtherCollector(ledger, 102, start + 3s);
+    CHECK(hasCountsOfMost(ledger, 103, start + 3s));
+    noteOtherCollector(ledger, 103, start + 3s);
+    CHECK_FALSE(hasCountsOfMost(ledger, 103, start + 3s));
+    // What another collector said long ago does not matter.
+    push("vm-1", "a", {}, start + 14s);
+    CHECK(hasCountsOfMost(ledger, 3, start + 14s));
+}
+
+// Pushes that arrived during a pause wait in the sockets, although their senders have given them up.
+TEST_CASE_METHOD(CountsFixture, "UsageLedger_PushesFromDuringAPause_DoNotCountAsHeard")
+{
+    notePause(ledger, 500ms, start + 2s);
+    push("vm-1", "a", {}, start + 2400ms);
+    noteOtherCollector(ledger, 2, start + 3s);
+    CHECK_FALSE(hasCountsOfMost(ledger, 3, start + 3s));
+    push("vm-1", "a", {}, start + 3s);
+    CHECK(hasCountsOfMost(ledger, 3, start + 3s));
+    // Until another collector has responded after a pause, it may have heard of more daemons, but not for longer than
+    // two windows.
+    notePause(ledger, 500ms, start + 4s);
+    push("vm-1", "a", {}, start + 14s);
+    CHECK_FALSE(hasCountsOfMost(ledger, 3, start + 14s));
+    CHECK(hasCountsOfMost(ledger, 3, start + 14501ms));
+}
+
 TEST_CASE("UsagePush_EncodedAndDecoded_IsTheSame")
 {
     UsagePush const push { "vm-1", "0a", -1234ms, { { 353445120, { { "kaje80", { 4, 1 } }, { "a\"b", { 1, 0 } } } } } };
     CHECK(valueOf(decodePush(encodePush(push))) == push);
-    UsageReply const reply { "0b", 353445119, 1700000000123ms, true };
+    UsageReply const reply { "0b", 353445119, 1700000000123ms, true, 103 };
     CHECK(valueOf(decodeReply(encodeReply(reply))) == reply);
-    UsageReply const empty { "0b", std::nullopt, std::nullopt, false };
+    UsageReply const empty { "0b", std::nullopt, std::nullopt, false, 0 };
     CHECK(valueOf(decodeReply(encodeReply(empty))) == empty);
 }
 
--- a/Tests/comfreysaild/TestEntryFailures.cpp
+++ b/Tests/comfreysaild/TestEntryFailures.cpp
@@ -287,3 +287,25 @@
     checkReports();
     CHECK(reports().back().token > before.token);
 }
+
+// Guards against a daemon that continues with the keys and the lease that it had before its pause.
+TEST_CASE_METHOD(FailureFixture, "EntryFailures_HolderIsPausedBeyondItsLease_ReportsAndKeysHold", "[.failures]")
+{
+    startWithTraffic();
+    auto const before = reports().back();
+    auto& paused = holder();
+    paused.stop();
+    firstWindow = currentWindow() + 1;
+    revoke();
+    play(2s, &paused);
+    checkKeys(&paused);
+    play(3s, &paused);
+    auto connection = paused.connect();
+    connection.send(requestWithKey("revoked"));
+    paused.resume();
+    CHECK(connection.readResponse().status() == 401);
+    checkKeys();
+    play(2s);
+    checkReports();
+    CHECK(reports().back().token > before.token);
+}
