soak: Let daemons be offered old rows, and send downloads that are forwarded piecewise

Change: during an isolate event all daemons but one are cut off while a target is removed and the settings change; the one then reaches only them. Most of these events come before other faults of the store. Downloads are 1.2 MB in one chunk and cut near their end. A download may be cut if its target cut it or was stopped, or at the end of its time.

--- a/Meta/Cluster/soak.py
+++ b/Meta/Cluster/soak.py
@@ -14,7 +14,7 @@
 import time
 
 import cluster
-from soak_peers import DEPARTMENTS, SPARE_KEY, WINDOW, Link, SoakCaller, SoakTarget, UsageService
+from soak_peers import DEADLINE, DEPARTMENTS, SPARE_KEY, WINDOW, Link, SoakCaller, SoakTarget, UsageService
 
 # The bounds of the users' site files, in seconds.
 CONFIG_APPLY = 3.0
@@ -97,12 +97,15 @@
     def __init__(self):
         self.records = {}
         self.unknown_runs = []
+        self.truncated = set()  # Requests whose responses a target cut off.
         self.wrong_departments = []
         self.late_runs = []
         self.said_leaving = {}  # Time at which a daemon passed on that a target leaves, by (daemon, incarnation, target).
         self.used_leaving = []  # Requests that came later than the bound all the same: (request id, target, lateness).
         self.pauses = []  # (daemon, incarnation, target, start, end) of each pause that a target asked for.
         self.arrivals = []  # (daemon, incarnation, target, time) of each request.
+        # (daemon, incarnation, target, start, end): the daemon knows that the target was removed, and is offered older rows.
+        self.removals = []
         self.limits = []  # (target, requests a second, start, end) of each limit that a target announced.
 
     def note_arrival(self, request_id, target):
@@ -216,9 +219,9 @@
         self.duration = generator.uniform(0.3, 4.0)
         self.draw = generator.random()
         self.choice = generator.random()
-        # Beside a fault of the store, a daemon may go on with old settings. Most of these pauses are played before the
-        # first one, since the store is disturbed for most of a seed.
-        self.is_early = self.kind == "pause-withdraw" and self.draw < 0.7
+        # Beside a fault of the store, a daemon may go on with old rows. Most events that look for old rows are played before
+        # the first one, since the store is disturbed for most of a seed.
+        self.is_early = self.kind in ("pause-withdraw", "isolate") and self.draw < 0.7
         if self.is_early:
             self.time = 0.5
         self.played = None  # Its start and end, by the monotonic clock.
@@ -264,6 +267,7 @@
         self.max_lag = 0.0
         self.withdraws_spare_keys = False
         self.targets_started = 0
+        self.store_faults = 0  # Now active.
         self.extra_callers = 0
         self.disturbed = []  # Times of faults of the store or of targets: (start, end).
         self.store_disturbed = []
@@ -359,11 +363,13 @@
 
     async def play(self, event):
         await asyncio.sleep(event.time)
-        while self.early_left > 0 and event.disturbs_store:
+        while self.early_left > 0 and event.disturbs_store and not event.is_early:
             await asyncio.sleep(0.05)
         started = time.monotonic()
+        self.store_faults += event.disturbs_store
         await getattr(self, "play_" + event.kind.replace("-", "_"))(event)
         event.played = (started, time.monotonic())
+        self.store_faults -= event.disturbs_store
         if event.is_early:
             # A fault of the store excuses what was sent shortly before it.
             await asyncio.sleep(EXCUSED_BEFORE)
@@ -493,7 +499,7 @@
         """The store fails for some daemons only."""
         generator = random.Random(event.draw)
         links = [daemon.link for daemon in generator.sample(self.daemons, generator.choice((1, 1, 2, 3)))]
-        await self.disturb(links, generator.choice(Link.MODES), event)
+        await self.disturb(links, generator.choice(Link.MODES), event.duration)
 
     async def play_peer_link(self, event):
         """Connections that one daemon opens to the others, or that they open to it, or both ways between two daemons."""
@@ -502,20 +508,42 @@
         opened = list(one.peer_links.values())
         accepted = [daemon.peer_links[one.name] for daemon in self.daemons if daemon is not one]
         pair = [one.peer_links[other.name], other.peer_links[one.name]]
-        await self.disturb(generator.choice((opened, accepted, pair)), generator.choice(Link.MODES), event)
+        await self.disturb(generator.choice((opened, accepted, pair)), generator.choice(Link.MODES), event.duration)
 
-    async def disturb(self, links, mode, event, longer=0.0):
+    async def disturb(self, links, mode, seconds):
         for link in links:
             link.set_mode(mode)
-        await asyncio.sleep(event.duration + longer)
+        await asyncio.sleep(seconds)
         for link in links:
             link.set_mode(None)
 
     async def play_isolate(self, event):
-        """A daemon reaches neither the store nor another daemon while the settings change, but others ask it for rows."""
-        daemon = self.pick(self.daemons, event)
-        links = [daemon.link, *daemon.peer_links.values()]
-        await asyncio.gather(self.disturb(links, "refuse" if event.draw < 0.5 else "silent", event, 1.5), self.play_settings(event))
+        """All daemons but one reach neither the store nor another one while a target is removed and the settings change. The
+        one has these changes and then reaches only the others, whose rows are older."""
+        generator = random.Random(event.draw)
+        one = generator.choice(self.daemons)
+        target = generator.choice(self.targets)
+        if len(self.targets) < 3:
+            return
+        seconds = event.duration / 2
+        mode = generator.choice(("refuse", "silent"))
+        links = [link for daemon in self.daemons if daemon is not one for link in (daemon.link, *daemon.peer_links.values())]
+        cut = asyncio.create_task(self.disturb(links, mode, DRAIN + seconds + 1))
+        self.targets.remove(target)
+        self.left.append(target)
+        await self.add_target()
+        incarnation = one.incarnation
+        await self.write_rows(deletes=[("servers", target.name, {})])
+        removed_at = time.monotonic()
+        await self.play_settings(event)
+        await asyncio.sleep(DRAIN)
+        # Beside another fault of the store, it may not have the changes.
+        is_alone = self.store_faults == 1 and not self.was_disturbed_at(removed_at, self.store_disturbed)
+        cut_at = time.monotonic()
+        await self.disturb([one.link], "refuse", seconds + 0.5)
+        if is_alone:
+            self.journal.removals.append((one.name, incarnation, target.name, cut_at, time.monotonic()))
+        await cut
 
     async def play_target_limit(self, event):
         target = self.pick(self.targets, event)
@@ -662,6 +690,11 @@
             found.append("no usage was reported")
         self.check_pauses()
         self.check_limits()
+        for daemon, incarnation, name, start, end in self.journal.removals:
+            sent = [arrival[3] for arrival in self.journal.arrivals if arrival[:3] == (daemon, incarnation, name)]
+            count = sum(start < moment < end for moment in sent)
+            if count:
+                found.append(f"rows went back: {daemon} sent {count} requests to the removed {name}; {start:.2f} to {end:.2f}")
         for record in records:
             name = f"{record.request_id} ({record.kind}, {record.daemon}, {record.result})"
             is_once = ROUTES.get(record.kind) in ("unsafe", "upload")
@@ -675,7 +708,7 @@
                 found.append(f"answered without a run: {name}")
             if record.result == "timeout" and not self.was_disturbed_at(record.sent_at, self.disturbed + self.paused):
                 found.append(f"no response in time: {name}")
-            if record.result == "no response" and record.runs and not record.was_killed:
+            if record.result == "no response" and record.runs and not record.was_killed and not self.may_be_cut(record):
                 found.append(f"cut although its daemon was not killed: {name}")
             # A daemon may close an idle connection while a request is on its way, but not a new connection.
             if record.result == "no response" and record.is_first and not record.runs and not record.was_killed:
@@ -692,6 +725,11 @@
                     found.append(f"refused on a route added {late:.2f} s before: {name}")
         self.check_settings_never_go_back()
 
+    def may_be_cut(self, record):
+        """A download that has begun ends where its target or the time of the request ends, and must not look complete."""
+        is_cut = record.request_id in self.journal.truncated or any(target.is_stopped for _, target in record.runs)
+        return record.kind == "download" and (is_cut or record.ended_at - record.sent_at > DEADLINE - 0.1)
+
     def check_pauses(self):
         """A daemon that was frozen meanwhile is excused; its incarnation tells a restart."""
         arrivals = {}
--- a/Meta/Cluster/soak_peers.py
+++ b/Meta/Cluster/soak_peers.py
@@ -9,6 +9,8 @@
 
 HOST = "orders.test"
 READ_LIMIT = 1 << 20
+# Time of a request, in seconds.
+DEADLINE = 2.0
 # Bytes that one send on loopback delivers at once.
 MAX_SEGMENT = 8192
 # How long a target runs a request, in seconds.
@@ -18,8 +20,8 @@
 # Departments of the callers; each has a key and a spare one, which a fault withdraws.
 DEPARTMENTS = ("d0", "d1", "d2")
 SPARE_KEY = "spare-key-"
-# Responses to downloads, whose request ids end with "d", are up to 300 kB: larger than what a daemon buffers.
-DOWNLOAD_FACTOR = 100
+# Responses to downloads, whose request ids end with "d", are larger than the 1 MiB that a daemon buffers.
+MIN_DOWNLOAD = 1200000
 # A window of the usage reports, and after its end the time in which it has to be reported (report_due_seconds) with a
 # second for the call.
 WINDOW = 2
@@ -58,7 +60,7 @@
 
 
 def answer_for(request_id, body):
-    size = sum(request_id.encode()) % 3000 * (DOWNLOAD_FACTOR if request_id.endswith("d") else 1)
+    size = sum(request_id.encode()) % 3000 + (MIN_DOWNLOAD if request_id.endswith("d") else 0)
     return f"answer {request_id} {len(body)} ".encode() + b"x" * size
 
 
@@ -77,6 +79,7 @@
         self.faults = ()
         self.left_at = None
         self.is_leaving = False
+        self.is_stopped = False
         self.limit = None  # Requests a second that it wants from all daemons together.
         self.running = 0
         self.slots = 2
@@ -89,6 +92,7 @@
         self.port = self.server.sockets[0].getsockname()[1]
 
     async def stop(self):
+        self.is_stopped = True
         self.server.close()
         self.drop_connections()
 
@@ -154,7 +158,8 @@
     async def respond(self, writer, request_id, body):
         content = answer_for(request_id, body)
         signature = f"X-Comfreysail-Backend-Signature: s.{request_id}\r\n"
-        is_chunked = self.generator.random() < 0.3
+        is_download = request_id.endswith("d")
+        is_chunked = is_download or self.generator.random() < 0.3
         framing = "Transfer-Encoding: chunked" if is_chunked else f"Content-Length: {len(content)}"
         if is_chunked:
             content = b"%x\r\n%s\r\n0\r\n\r\n" % (len(content), content)
@@ -167,7 +172,9 @@
             close_hard(writer)
             return False
         if fault == "truncate":
-            writer.write(whole[: self.generator.randrange(1, len(whole))])
+            # Of a download, after its daemon has begun to forward it.
+            writer.write(whole[: self.generator.randrange(MIN_DOWNLOAD * 9 // 10 if is_download else 1, len(whole))])
+            self.journal.truncated.add(request_id)
             await writer.drain()
             if self.generator.random() < 0.5:
                 close_hard(writer)
@@ -349,7 +356,7 @@
     def request(self, kind=None):
         self.sent += 1
         kinds = ["read", "pay", "upload", "trial", "download", *self.soak.added_at]
-        kind = kind or self.generator.choices(kinds, [5, 4, 1, 2, 1] + [2] * len(self.soak.added_at))[0]
+        kind = kind or self.generator.choices(kinds, [5, 4, 1, 2, 0.4] + [2] * len(self.soak.added_at))[0]
         request_id = f"c{self.number}n{self.sent}" + ("d" if kind == "download" else "")
         key = f"key-{department_of(request_id)}"
         if kind == "read" and self.sent % 4 == 0:
@@ -357,7 +364,7 @@
         body = b"" if kind not in ("pay", "upload") else b"b" * self.generator.randrange(1, 60 if kind == "pay" else 200000)
         method = "POST" if body else "GET"
         lines = [f"{method} /{kind}/{request_id} HTTP/1.1", f"Host: {HOST}", f"X-Comfreysail-Request-Id: {request_id}"]
-        lines += ["X-Comfreysail-Deadline-Ms: 2000", f"Authorization: Token {key}", "X-Comfreysail-Tenant: forged"]
+        lines += [f"X-Comfreysail-Deadline-Ms: {int(DEADLINE * 1000)}", f"Authorization: Token {key}", "X-Comfreysail-Tenant: forged"]
         if body and self.generator.random() < 0.3:
             framing = "Transfer-Encoding: chunked"
             half = len(body) // 2
