Tests: Link the injected faults into a daemon for tests

Change: comfreysaildWithFaults has the same objects as comfreysaild and its own clock_gettime() and connect(). The soak and TestEntryFailures start it. The shift is a text file again, as no memory may be shared.

--- a/Meta/Cluster/soak.py
+++ b/Meta/Cluster/soak.py
@@ -9,7 +9,6 @@
 import random
 import re
 import signal
-import struct
 import sys
 import time
 
@@ -57,7 +56,7 @@
 # daemon has.
 ADDED = "added"
 NOT_RUN = (408, 421, 429, 503)
-FAULT_LIBRARY = os.path.join(cluster.BIN, "libProcessFaults.so")
+DAEMON = os.path.join(cluster.BIN, "comfreysaildWithFaults")
 # Number of events of a seed, and of kinds of damage that one faulty target mixes.
 EVENTS = (8, 20)
 FAULTS_AT_ONCE = 3
@@ -168,13 +167,14 @@
         self.clock = os.path.join(folder, f"{name}.clock")
         self.shift_clock(0)
         ports = ",".join(f"{link.destination_port}={link.port}" for link in peer_links.values())
-        environment = {"LD_PRELOAD": FAULT_LIBRARY, "COMFREYSAIL_CLOCK_SHIFT": self.clock, "COMFREYSAIL_CONNECT_MAP": ports}
-        super().__init__(name, [os.path.join(cluster.BIN, "comfreysaild"), "--settings", settings], folder, environment)
+        environment = {"COMFREYSAIL_CLOCK_SHIFT": self.clock, "COMFREYSAIL_CONNECT_MAP": ports}
+        super().__init__(name, [DAEMON, "--settings", settings], folder, environment)
 
     def shift_clock(self, seconds):
-        # Written in place, since the daemon maps the file.
-        with open(self.clock, "r+b" if os.path.exists(self.clock) else "wb") as file:
-            file.write(struct.pack("=q", seconds))
+        # Renamed into place, so that the daemon never reads half of the number.
+        with open(self.clock + ".next", "w") as file:
+            file.write(str(int(seconds)))
+        os.replace(self.clock + ".next", self.clock)
 
     def restart(self):
         if not self.is_running:
@@ -314,8 +314,8 @@
         return target
 
     async def start(self):
-        if not os.path.exists(FAULT_LIBRARY):
-            raise RuntimeError(f"not built: {FAULT_LIBRARY}; run Meta/comfreysail.sh build")
+        if not os.path.exists(DAEMON):
+            raise RuntimeError(f"not built: {DAEMON}; run Meta/comfreysail.sh build")
         self.system.platform = self.system.add(cluster.Program("platform", [
             os.path.join(cluster.BIN, "FakePlatform"), "--port", str(self.system.platform_port),
             "--control-port", str(self.system.platform_control_port)], self.system.folder))
--- a/Tests/Fakes/ProcessFaults/ProcessFaults.cpp
+++ b/Tests/Fakes/ProcessFaults/ProcessFaults.cpp
@@ -1,12 +1,15 @@
-// Injects faults into the process that preloads this library. Both are configured by environment variables:
+// Replaces functions of the C library in the daemon that it is linked into, to inject faults that need no change of the
+// daemon. Both are configured by environment variables:
 //
-// COMFREYSAIL_CLOCK_SHIFT   file with a 64-bit integer in the machine's byte order, the number of seconds by which the
-//                           wall clock is shifted; may be changed while the process runs. Steady clocks stay correct.
+// COMFREYSAIL_CLOCK_SHIFT   file with the number of seconds by which the wall clock is shifted. It is read at each
+// call, so
+//                           the clock steps when the file is replaced. Steady clocks and absolute timeouts stay
+//                           correct.
 // COMFREYSAIL_CONNECT_MAP   "PORT=PROXY_PORT,..."; IPv4 connections to PORT are made to PROXY_PORT instead.
 
 #include <arpa/inet.h>
-#include <atomic>
-#include <cstdint>
+#include <array>
+#include <cerrno>
 #include <cstdlib>
 #include <cstring>
 #include <ctime>
@@ -14,29 +17,27 @@
 #include <fcntl.h>
 #include <map>
 #include <netinet/in.h>
-#include <sys/mman.h>
 #include <sys/socket.h>
+#include <sys/syscall.h>
 #include <sys/time.h>
 #include <unistd.h>
 
 namespace {
 
-using Shift = std::atomic<int64_t>;
-
-template<typename Function> Function originalOf(char const* name)
-{
-    return reinterpret_cast<Function>(::dlsym(RTLD_NEXT, name));
-}
-
-Shift const* mapShift()
+time_t shiftSeconds()
 {
-    auto const* const path = std::getenv("COMFREYSAIL_CLOCK_SHIFT");
-    auto const file = path ? ::open(path, O_RDONLY | O_CLOEXEC) : -1;
-    if (file < 0)
-        return nullptr;
-    auto* const memory = ::mmap(nullptr, sizeof(Shift), PROT_READ, MAP_SHARED, file, 0);
-    ::close(file);
-    return memory == MAP_FAILED ? nullptr : static_cast<Shift const*>(memory);
+    static char const* const path = std::getenv("COMFREYSAIL_CLOCK_SHIFT");
+    auto const savedError = errno;
+    time_t shift = 0;
+    int const descriptor = path ? ::open(path, O_RDONLY | O_CLOEXEC) : -1;
+    if (descriptor >= 0) {
+        std::array<char, 32> text {};
+        if (::read(descriptor, text.data(), text.size() - 1) > 0)
+            shift = std::strtoll(text.data(), nullptr, 10);
+        ::close(descriptor);
+    }
+    errno = savedError;
+    return shift;
 }
 
 std::map<unsigned, unsigned> readConnectMap()
@@ -58,23 +59,22 @@
 
 extern "C" {
 
+// A direct system call, since the C library's function of this name is the one that is replaced.
 // NOLINTNEXTLINE(readability-identifier-naming)
-int clock_gettime(clockid_t clock, timespec* time) noexcept
+int clock_gettime(clockid_t clock, timespec* result) noexcept
 {
-    static auto const original = originalOf<int (*)(clockid_t, timespec*)>("clock_gettime");
-    static auto const* const shift = mapShift();
-    auto const result = original(clock, time);
-    if (result == 0 && shift && (clock == CLOCK_REALTIME || clock == CLOCK_REALTIME_COARSE))
-        time->tv_sec += shift->load(std::memory_order_relaxed);
-    return result;
+    auto const status = static_cast<int>(::syscall(SYS_clock_gettime, clock, result));
+    if (status == 0 && (clock == CLOCK_REALTIME || clock == CLOCK_REALTIME_COARSE))
+        result->tv_sec += shiftSeconds();
+    return status;
 }
 
-int gettimeofday(timeval* __restrict time, void* __restrict) noexcept
+int gettimeofday(timeval* __restrict result, void* __restrict) noexcept
 {
     timespec now {};
-    auto const result = clock_gettime(CLOCK_REALTIME, &now);
-    *time = { now.tv_sec, now.tv_nsec / 1000 };
-    return result;
+    clock_gettime(CLOCK_REALTIME, &now);
+    *result = { now.tv_sec, now.tv_nsec / 1000 };
+    return 0;
 }
 
 time_t time(time_t* result) noexcept
@@ -88,7 +88,8 @@
 
 int connect(int socket, sockaddr const* address, socklen_t length)
 {
-    static auto const original = originalOf<int (*)(int, sockaddr const*, socklen_t)>("connect");
+    using Connect = int (*)(int, sockaddr const*, socklen_t);
+    static auto const original = reinterpret_cast<Connect>(::dlsym(RTLD_NEXT, "connect"));
     static auto const proxies = readConnectMap();
     if (address->sa_family != AF_INET || length < sizeof(sockaddr_in))
         return original(socket, address, length);
--- a/Tests/Support/DaemonProcess.cpp
+++ b/Tests/Support/DaemonProcess.cpp
@@ -22,6 +22,7 @@
 constexpr auto pollInterval = std::chrono::milliseconds(10);
 constexpr auto startTimeout = std::chrono::seconds(10);
 std::string const program = COMFREYSAIL_BIN_DIR "/comfreysaild";
+std::string const programWithFaults = COMFREYSAIL_BIN_DIR "/comfreysaildWithFaults";
 
 std::string readFile(std::filesystem::path const& path)
 {
@@ -108,18 +109,25 @@
     return ends;
 }
 
-/// Starts the program with its output going to a file, or to a pipe if its write end is given. `variables` are added to
-/// the environment. Between fork() and execve() the child calls only async-signal-safe functions.
-int startProgram(std::vector<std::string> const& arguments, std::filesystem::path const& output, int pipeEnd = -1,
-    std::optional<unsigned> descriptorLimit = std::nullopt, std::vector<std::string> const& variables = {})
+struct StartOptions {
+    int pipeEnd { -1 }; ///< Write end of a pipe that gets the output instead of the file.
+    std::optional<unsigned> descriptorLimit;
+    /// File with the shift of the wall clock. If set, the daemon is the one whose clock can be shifted.
+    std::optional<std::string> clockFile;
+};
+
+/// Starts the daemon with its output going to a file, or to a pipe. Between fork() and execve() the child calls only
+/// async-signal-safe functions.
+int startProgram(
+    std::vector<std::string> const& arguments, std::filesystem::path const& output, StartOptions const& options = {})
 {
-    std::vector<char*> pointers { const_cast<char*>(program.c_str()) };
+    auto const& path = options.clockFile ? programWithFaults : program;
+    std::vector<char*> pointers { const_cast<char*>(path.c_str()) };
     for (auto const& argument : arguments)
         pointers.push_back(const_cast<char*>(argument.c_str()));
     pointers.push_back(nullptr);
-    std::vector<char*> environment;
-    for (auto const& variable : variables)
-        environment.push_back(const_cast<char*>(variable.c_str()));
+    auto const clockVariable = "COMFREYSAIL_CLOCK_SHIFT=" + options.clockFile.value_or("");
+    std::vector<char*> environment { const_cast<char*>(clockVariable.c_str()) };
     for (char** variable = environ; *variable; ++variable)
         environment.push_back(*variable);
     environment.push_back(nullptr);
@@ -127,14 +135,15 @@
     int const process = ::fork();
     if (process != 0)
         return process;
-    int const descriptor = pipeEnd >= 0 ? pipeEnd : ::open(outputPath.c_str(), O_CREAT | O_WRONLY | O_APPEND, 0600);
+    int const descriptor
+        = options.pipeEnd >= 0 ? options.pipeEnd : ::open(outputPath.c_str(), O_CREAT | O_WRONLY | O_APPEND, 0600);
     ::dup2(descriptor, STDOUT_FILENO);
     ::dup2(descriptor, STDERR_FILENO);
-    if (descriptorLimit) {
-        rlimit const limit { *descriptorLimit, *descriptorLimit };
+    if (options.descriptorLimit) {
+        rlimit const limit { *options.descriptorLimit, *options.descriptorLimit };
         ::setrlimit(RLIMIT_NOFILE, &limit);
     }
-    ::execve(program.c_str(), pointers.data(), environment.data());
+    ::execve(path.c_str(), pointers.data(), environment.data());
     ::_exit(127);
 }
 
@@ -189,12 +198,10 @@
         m_fullPipe = ends[0];
         writingEnd = ends[1];
     }
-    std::vector<std::string> variables;
+    StartOptions startOptions { .pipeEnd = writingEnd, .descriptorLimit = options.descriptorLimit, .clockFile = {} };
     if (options.hasSteppableClock)
-        variables = { "LD_PRELOAD=" COMFREYSAIL_BIN_DIR "/libClockShift.so",
-            "COMFREYSAIL_CLOCK_SHIFT_FILE=" + (m_folder / "clock-shift").string() };
-    m_process = startProgram({ "--settings", (m_folder / "daemon.toml").string() }, m_folder / "log", writingEnd,
-        options.descriptorLimit, variables);
+        startOptions.clockFile = (m_folder / "clock-shift").string();
+    m_process = startProgram({ "--settings", (m_folder / "daemon.toml").string() }, m_folder / "log", startOptions);
     if (options.logsIntoFullPipe) {
         ::close(writingEnd);
         std::this_thread::sleep_for(std::chrono::seconds(1));
--- a/Tests/Support/DaemonProcess.h
+++ b/Tests/Support/DaemonProcess.h
@@ -34,7 +34,7 @@
     bool logsIntoFullPipe { false }; ///< Whether the log goes to a full pipe that nobody reads.
     /// Limit of the process's open file descriptors (RLIMIT_NOFILE). Without it the process has that of the test.
     std::optional<unsigned> descriptorLimit;
-    bool hasSteppableClock { false }; ///< Whether stepClock() works. It preloads the library ClockShift.
+    bool hasSteppableClock { false }; ///< Whether stepClock() works. It starts comfreysaildWithFaults.
 };
 
 /// A comfreysaild process with one service, "orders.test". Its routes are GET / (lookup), GET /files (download), POST /
