TargetSelector: Do not count waits for late load responses as rounds of probes

Load responses that arrive together show the same room; the first requests take it and the others ask again, in up to five rounds. If the responses come after the 40 ms of a round, the wait for them was a round too, so the target was asked three times instead of five.

Change: only rounds that ask count. Requests that are held back under shortage end as before, after two steps of either kind. Each wait ends with a probe or the request's deadline, so the loop is bounded.

--- a/Services/comfreysaild/TargetSelector.cpp
+++ b/Services/comfreysaild/TargetSelector.cpp
@@ -204,7 +204,10 @@
     auto const lateUntil = request.deadline - (request.deadline - request.arrivedAt) / partOfTimeForWork;
     LoadProber::Session session(m_context, isGoodEnough, lateUntil);
     StopSignal::Scope const scope(request.stopSignal, [&session] { session.stopWaiting(); });
-    for (unsigned round = 0; round < options.maxRounds; ++round) {
+    // Waiting for late responses is no round of its own. Otherwise a target would be asked less often if it has little
+    // processor time, and requests that take turns at it would be refused.
+    unsigned waits = 0;
+    for (unsigned round = 0; round < options.maxRounds;) {
         auto const eligible = eligibleNow();
         auto const preference = probePreference(request, eligible, round == 0);
         auto toProbe = Traffic::targetsToProbe(eligible, placement, probed, options, m_generator(), preference);
@@ -219,16 +222,18 @@
         if (limited && std::ranges::find(ids, *limited) == ids.end())
             ids.push_back(*limited);
         if (!ids.empty()) {
+            ++round;
             probed.insert(probed.end(), ids.begin(), ids.end());
             co_await m_prober.probe(session, ids, healthPath, probeRoundTimeout);
-        } else if (!best() && session.hasPendingProbes()) {
+        } else if (!best() && session.hasPendingProbes() && Core::monotonicNow() < request.deadline) {
+            ++waits;
             co_await m_prober.waitForPending(session, request.deadline);
         } else {
             break;
         }
         if (request.stopSignal.reason())
             co_return Error { *request.stopSignal.reason(), {} };
-        if (isGoodEnough() || (isHeldBack && round + 1 >= maxRoundsIfHeldBack))
+        if (isGoodEnough() || (isHeldBack && round + waits >= maxRoundsIfHeldBack))
             break;
     }
     if (!best() && !isHeldBack && session.hasPendingProbes())
--- a/Tests/comfreysaild/TestEntryStarvation.cpp
+++ b/Tests/comfreysaild/TestEntryStarvation.cpp
@@ -1,6 +1,8 @@
 #include "EntryFixture.h"
 
 #include <catch2/catch.hpp>
+#include <condition_variable>
+#include <mutex>
 #include <thread>
 
 using namespace Comfreysail::Tests;
@@ -116,6 +118,57 @@
     CHECK(target.runs == 2);
 }
 
+// Guards against refusing requests whose only target is free again, because its load responses are late and arrive
+// together: the first request takes the room that they show, and the others ask again. The wait for late responses
+// counted as a round of probes of its own, so that the target was asked three times instead of five.
+TEST_CASE_METHOD(EntryFixture, "EntryStarvation_LateLoadResponsesArriveTogether_AllLookupsAreServed")
+{
+    constexpr unsigned requests = 5; // Five rounds of probes are allowed.
+    auto& target = addTarget("t1", [](RawConnection& connection, std::string const& head) {
+        return connection.send(signedResponse(head, requestIdOf(head)));
+    });
+    target.load = "0,0,1,100";
+    std::mutex mutex;
+    std::condition_variable isSending;
+    unsigned wave = 0;
+    bool hasLeader = false;
+    // The first probe of each wave pauses the daemon after a round of probes (40 ms). The responses to all of them are
+    // sent during the pause.
+    target.loadScript = [&](RawConnection& connection, std::string const&) {
+        std::unique_lock lock(mutex);
+        auto const ownWave = wave;
+        if (std::exchange(hasLeader, true)) {
+            isSending.wait_for(lock, 1s, [&] { return wave != ownWave; });
+            return connection.send(target.loadResponse());
+        }
+        lock.unlock();
+        std::this_thread::sleep_for(100ms);
+        daemon().stop();
+        lock.lock();
+        ++wave;
+        hasLeader = false;
+        lock.unlock();
+        isSending.notify_all();
+        bool const isSent = connection.send(target.loadResponse());
+        std::this_thread::sleep_for(20ms);
+        daemon().resume();
+        return isSent;
+    };
+    StopAtScopeEnd const stop(*this);
+    startDaemon();
+    auto connection = daemon().connect();
+    std::string text;
+    for (unsigned index = 0; index < requests; ++index)
+        text += requestText("GET", "/read/1", "a" + std::to_string(index));
+    connection.send(text);
+    for (unsigned index = 0; index < requests; ++index) {
+        auto const response = connection.readResponse();
+        CAPTURE(response.body);
+        CHECK(response.status() == 200);
+    }
+    CHECK(target.runs == requests);
+}
+
 // Guards against refusing a late retry although the other target is idle: a late request leaves the last free slots to
 // others, and the target that had refused it counted as one without room.
 TEST_CASE_METHOD(EntryFixture, "EntryStarvation_TargetRefusesLate_RetryUsesTheIdleOne")
