--- a/Tests/comfreysaild/TestEntryState.cpp
+++ b/Tests/comfreysaild/TestEntryState.cpp
@@ -283,6 +283,19 @@
     CHECK(call("GET", "/read/1").status() == 200);
 }
 
+// Guards against the first daemon of a new store that knows no members, not even itself, until it reads them again: it
+// would take the limits that targets name for its own alone for as long as the store is down.
+TEST_CASE_METHOD(EntryFixture, "Entry_StoreIsLostAfterTheFirstRegistration_MembersAreKnown")
+{
+    addTarget("t1", respondComplete);
+    auto const& daemon = startDaemon();
+    REQUIRE(eventually([this] { return !storeKeys("comfreysail-members").empty(); }));
+    std::this_thread::sleep_for(500ms);
+    setFaults(R"({"mode":"down"})");
+    CHECK(eventually(
+        [&daemon] { return daemon.admin("/metrics").body.find("\ncomfreysail_members 1\n") != std::string::npos; }));
+}
+
 // Guards against settings with many routes that take seconds to pass the levels of the relay tree over narrow links. A
 // daemon of an older build, which does not ask for compressed rows, must still get them.
 TEST_CASE_METHOD(EntryFixture, "Entry_SettingsWithManyRoutes_AreRelayedInAFractionOfTheirSize")
