--- a/Tests/LibOverload/Loads.cpp
+++ b/Tests/LibOverload/Loads.cpp
@@ -132,7 +132,7 @@
     auto urgent = statementPull();
     urgent.perSecond = 60;
     auto other = historyRead();
-    other.perSecond = 60;
+    other.perSecond = 40;
     PlayedLoad load;
     load.kinds = { urgent, other };
     load.targets = 21;
