--- a/Meta/Cluster/soak.py
+++ b/Meta/Cluster/soak.py
@@ -259,6 +259,7 @@
         self.version = 1
         self.settings_lock = asyncio.Lock()  # Versions are written in their order.
         self.routes = dict(ROUTES)
+        self.pause_routes = [kind for kind in ROUTES if kind.startswith("paused")]  # Not yet withdrawn.
         self.added_at = {}  # Time at which the store acknowledged each added route.
         self.withdrawn_at = {}  # Time at which the store acknowledged it, by kind.
         self.clock_lock = asyncio.Lock()  # The median of the clocks needs most of them right.
@@ -566,9 +567,9 @@
     async def play_pause_withdraw(self, event):
         """A route is withdrawn while a daemon is paused. Requests on it arrive before the daemon goes on."""
         daemon = self.pick(self.daemons, event)
-        kind = next((kind for kind in ROUTES if kind.startswith("paused") and kind in self.routes), None)
-        if kind is None:
+        if not self.pause_routes:
             return
+        kind = self.pause_routes.pop(0)
         started = time.monotonic()
         daemon.send(signal.SIGSTOP)
         async with self.settings_lock:
