--- a/Meta/Cluster/soak.py
+++ b/Meta/Cluster/soak.py
@@ -32,7 +32,8 @@
 # A tenth of what a VM allows (4,100).
 MAX_DESCRIPTORS = 400
 # Growth from before the load to after it, when clients and targets have closed their connections. Memory: half of what
-# bodies may take, since the clients send 3 MB at once (16 uploads of 200 kB), and about a dozen copies of the settings
+# bodies may take, since the clients send 3 MB at once (16 uploads of 200 kB) and rarely have more than a few downloads (1 MiB
+# buffered each) at one daemon, and about a dozen copies of the settings
 # (text of 0.3 MB for a thousand routes, decoded, in force, before, compressed). Descriptors: two connections of each kind
 # (rows, usage) to and from each of three other daemons, and two to the store and to the usage service.
 GROWTH_KB = MEMORY_MB // 4 // 2 * 1024
