--- a/Libraries/LibOverload/OverloadOptions.h
+++ b/Libraries/LibOverload/OverloadOptions.h
@@ -27,8 +27,9 @@
     double shareOfRank { 0.15 };
     /// These shares apply in full from this part of more urgent work on, and in proportion below it. In full from 0.1
     /// on, a kind that was 85% of the work of a service left a third of it to the other kind and was on time in 90
-    /// instead of 94 of 100.
-    double fullFromUrgentPart { 0.5 };
+    /// instead of 94 of 100. In full from 0.5 on, less urgent requests took the last slots where both kinds had
+    /// equal work, as a daemon's estimate of the part varies.
+    double fullFromUrgentPart { 0.3 };
     double shareIfLate { 0.15 };
     /// Subtracted for a caller that was refused before.
     double shareIfReturning { 0.25 };
