TestComfreysaild: Give the target room for all requests of the test of the send limit

Its target states two slots, so a request that finds them taken by the others is refused after five probes ("asked 5 of 1", 8 of 20), and fewer than the 14 of the limit are at the target; the 12 at it then get 504, as the test waits longer than their time. Such a refusal is right.

Change: the target states 30 slots.

--- a/Tests/comfreysaild/TestEntryLimits.cpp
+++ b/Tests/comfreysaild/TestEntryLimits.cpp
@@ -95,11 +95,13 @@
 TEST_CASE_METHOD(EntryFixture, "Entry_TooManyRequestsAtTargets_TheRefusalIsNotRunLoggedAndCounted")
 {
     std::atomic<bool> isReleased { false };
-    auto const& target = addTarget("t1", [&](RawConnection& connection, std::string const& head) {
+    auto& target = addTarget("t1", [&](RawConnection& connection, std::string const& head) {
         while (!isReleased)
             std::this_thread::sleep_for(10ms);
         return respondWhole(connection, head);
     });
+    // With fewer slots than clients, some requests would be refused because the target is full.
+    target.load = "0,0,30,100";
     StopAtScopeEnd const stop(*this);
     auto& daemon = startDaemon({ .settings = fewDescriptors });
     std::deque<RawConnection> clients;
