soak: Wait until daemons have closed the connections of targets that are gone

The logs of all four daemons say process_was_paused at that moment: none had run for 2 s, so their maintenance, which closes connections whose peer has closed once a second, was not due yet 1 s after the targets had closed theirs. Ruled out: clients' connections (their last requests ended 6 s before). Change: the check waits up to 5 s for the same bound.

--- a/Meta/Cluster/soak.py
+++ b/Meta/Cluster/soak.py
@@ -629,7 +629,11 @@
             await asyncio.sleep(4)
             for target in self.targets + self.left:
                 target.drop_connections()
+            # Daemons close such connections once a second, but on a busy machine they did not run for 2 s at this point.
+            end = time.monotonic() + 5
             await asyncio.sleep(1)
+            while self.holds_more_descriptors() and time.monotonic() < end:
+                await asyncio.sleep(0.2)
             self.check_growth()
             self.check()
         finally:
@@ -667,6 +671,10 @@
             if resident > MAX_RESIDENT_KB or descriptors > MAX_DESCRIPTORS:
                 self.problems.append(f"{daemon.name} holds {resident} kB and {descriptors} descriptors")
 
+    def holds_more_descriptors(self):
+        most = max(descriptors for _, descriptors in self.before.values()) + GROWTH_DESCRIPTORS
+        return any(daemon.usage()[1] > most for daemon in self.daemons)
+
     def check_growth(self):
         """A daemon that was started again is compared with the largest values, of all daemons before the load."""
         resident_before, descriptors_before = (max(values) for values in zip(*self.before.values()))
