comfreysaild: Use a subset of targets only if the settings ask for it

Cause: the subset was on by default and thus by the number of daemons alone, so a deployment that never asked for it got it. Entry_ManyMembersWithoutTheSetting_ProbesAllTargets failed with the default on (7 targets probed, at least 18 of 24 expected). The checks of Entry_ManyMembers_ProbesAStableSubsetUntilTurnedOff are as before; it now asks for the subset first.

--- a/Services/comfreysaild/DaemonSettings.h
+++ b/Services/comfreysaild/DaemonSettings.h
@@ -83,7 +83,7 @@
     std::optional<DutySettings> duties;
     DaemonLimits limits;
     /// With more than 64 members, each daemon prefers a stable subset of the targets of a service (ask_targets).
-    bool usesTargetSubset { true };
+    bool usesTargetSubset { false };
     uint64_t measurementBytesPerSecond { 29'000 };
     unsigned measurementCpuPermille { 19 };
 
--- a/Services/comfreysaild/EntryState.h
+++ b/Services/comfreysaild/EntryState.h
@@ -71,7 +71,7 @@
     std::map<std::string, Traffic::ServiceTimeEstimate, std::less<>> serviceTimes;   ///< By route.
     std::map<std::string, Traffic::QueueingEstimate, std::less<>> queueingEstimates; ///< By route.
     std::map<std::string, Traffic::RequestRateEstimate, std::less<>> requestRates;   ///< By service.
-    bool usesTargetSubset { true }; ///< Each daemon prefers a subset of the targets, if there are many daemons.
+    bool usesTargetSubset { false }; ///< Each daemon prefers a subset of the targets, if there are many daemons.
     OverloadState overload;
     std::set<std::string, std::less<>> servicesWithoutLoadReports; ///< Their targets do not report load.
     Retry::Quarantine quarantine { { .crashesUntilRefused = 3 } };
--- a/Tests/comfreysaild/TestEntryConnections.cpp
+++ b/Tests/comfreysaild/TestEntryConnections.cpp
@@ -29,43 +29,68 @@
 
 }
 
-// With many daemons each of them prefers a stable subset of the targets, unless the settings file turns that off.
-// Guards against a setting that has no effect, and against a subset with few daemons. The bounds: three probes for each
-// of 30 requests reach 18 of 24 targets nearly always; the subset has at most 12 targets at this rate.
-TEST_CASE_METHOD(ConnectionsFixture, "Entry_ManyMembers_ProbesAStableSubsetUnlessTurnedOff")
-{
-    constexpr unsigned targetCount = 24;
-    constexpr unsigned requests = 30;
-    constexpr unsigned minOfAll = 18;
-    std::array<std::atomic<unsigned>, targetCount> probes {};
-    std::vector<EntryTarget*> targets;
-    for (unsigned index = 0; index < targetCount; ++index) {
-        auto& target = *targets.emplace_back(&addTarget("t" + std::to_string(index), respondComplete));
-        target.loadScript = [&target, &count = probes.at(index)](RawConnection& connection, std::string const&) {
-            ++count;
-            return connection.send(target.loadResponse());
-        };
+/// A service of 24 targets, and the number of those that a batch of requests probes: three probes for each of 30
+/// requests reach 18 nearly always; the subset has at most 12 targets at this rate.
+struct SubsetFixture : ConnectionsFixture {
+    static constexpr unsigned targetCount = 24;
+    static constexpr unsigned requests = 30;
+    static constexpr unsigned minOfAll = 18;
+
+    SubsetFixture()
+    {
+        for (unsigned index = 0; index < targetCount; ++index) {
+            auto& target = addTarget("t" + std::to_string(index), respondComplete);
+            target.loadScript = [&target, &count = m_probes.at(index)](RawConnection& connection, std::string const&) {
+                ++count;
+                return connection.send(target.loadResponse());
+            };
+        }
     }
-    StopAtScopeEnd const stop(*this);
-    startDaemon();
-    auto const probedTargets = [&] {
-        for (auto& count : probes)
+
+    void waitForManyMembers()
+    {
+        for (unsigned index = 0; index < 130; ++index)
+            writeMember("vm-" + std::to_string(index), "127.0.0.1:1 2");
+        REQUIRE(eventually([this] { return metric("comfreysail_members") > 64; }, 10s));
+    }
+
+    unsigned probedTargets()
+    {
+        for (auto& count : m_probes)
             count = 0;
         for (unsigned index = 0; index < requests; ++index)
             CHECK(call("GET", "/read/" + std::to_string(index)).body == "whole");
-        return std::ranges::count_if(probes, [](auto const& count) { return count > 0; });
-    };
+        return static_cast<unsigned>(std::ranges::count_if(m_probes, [](auto const& count) { return count > 0; }));
+    }
+
+private:
+    std::array<std::atomic<unsigned>, targetCount> m_probes {};
+};
+
+// With many daemons each of them prefers a stable subset of the targets, if the settings file asks for it. Guards
+// against a setting that has no effect, and against a subset with few daemons.
+TEST_CASE_METHOD(SubsetFixture, "Entry_ManyMembers_ProbesAStableSubsetUntilTurnedOff")
+{
+    StopAtScopeEnd const stop(*this);
+    startDaemon({ .limits = "[connections]\nsubset = true\n" });
     CHECK(probedTargets() >= minOfAll);
-    for (unsigned index = 0; index < 130; ++index)
-        writeMember("vm-" + std::to_string(index), "127.0.0.1:1 2");
-    REQUIRE(eventually([&] { return metric("comfreysail_members") > 64; }, 10s));
+    waitForManyMembers();
     CHECK(probedTargets() < minOfAll);
-    daemon().replaceInSettings("[caller]", "[connections]\nsubset = false\n[caller]");
+    daemon().replaceInSettings("subset = true", "subset = false");
     daemon().hangUp();
     REQUIRE(eventually([&] { return daemon().log().find("event=settings_file_read") != std::string::npos; }));
     CHECK(probedTargets() >= minOfAll);
 }
 
+// Guards against a subset in a deployment whose settings did not ask for one.
+TEST_CASE_METHOD(SubsetFixture, "Entry_ManyMembersWithoutTheSetting_ProbesAllTargets")
+{
+    StopAtScopeEnd const stop(*this);
+    startDaemon();
+    waitForManyMembers();
+    CHECK(probedTargets() >= minOfAll);
+}
+
 // Guards against load probes on connections that the target closes just then, because it announced a short idle
 // timeout, and against connections that are not counted.
 TEST_CASE_METHOD(ConnectionsFixture, "Entry_TargetAnnouncesAnIdleTimeout_ProbesOpenAConnectionAfterIt")
--- a/Tests/comfreysaild/TestEntryRouteExplanation.cpp
+++ b/Tests/comfreysaild/TestEntryRouteExplanation.cpp
@@ -397,7 +397,7 @@
     for (unsigned index = 0; index < 130; ++index)
         writeMember("vm-" + std::to_string(index), "127.0.0.1:1 2");
     StopAtScopeEnd const stop(*this);
-    startDaemon();
+    startDaemon({ .limits = "[connections]\nsubset = true\n" });
     json::object explanation;
     REQUIRE(eventually(
         [&] {
