comfreysaild: Do not explain a target as full because of requests that have ended

The daemon probes a target again before it sends, and would have sent a part of the less urgent requests. Ruled out: a starved process (the reports were 0 ms old).

Change: of the requests since the report, those still in flight count. EntryRouteExplanation_RequestHasEndedSinceTheLoadReport_... failed before ("uncertain" for "sent").

--- a/Services/comfreysaild/RouteExplanation.cpp
+++ b/Services/comfreysaild/RouteExplanation.cpp
@@ -6,8 +6,10 @@
 #include <algorithm>
 #include <boost/url/parse.hpp>
 #include <charconv>
+#include <iterator>
 #include <platform/Names.h>
 #include <set>
+#include <utility>
 
 namespace Comfreysail::Daemon {
 
@@ -116,6 +118,14 @@
     }
 }
 
+/// The entry as it would be after a load probe, which the daemon makes before it sends a request: requests that were
+/// sent since the last report and have ended hold no slot any more.
+DirectoryEntry asProbedNow(DirectoryEntry record)
+{
+    record.sentSinceLoad = std::min(record.sentSinceLoad, record.inFlight);
+    return record;
+}
+
 TargetExplanation explainTarget(Context const& context, DirectoryEntry const& record, bool isEligible,
     std::set<std::string> const& versions, Traffic::PlacementRequest const& placement,
     Traffic::PlacementOptions const& options)
@@ -128,7 +138,7 @@
     result.sentSinceLoad = record.sentSinceLoad;
     if (record.load)
         result.loadAge = context.now - record.loadMeasuredAt;
-    result.cost = Traffic::expectedCost(record, placement, options);
+    result.cost = Traffic::expectedCost(asProbedNow(record), placement, options);
     // An older report does not exclude a target, since a request probes it again.
     bool const isFull = record.load && !result.cost && result.loadAge <= options.maxReportAgeForRoom;
     if (!isEligible)
@@ -164,16 +174,23 @@
     return result;
 }
 
-/// The target that would be used if the known load reports were recent.
-std::optional<Traffic::TargetChoice> bestByKnownReports(std::vector<DirectoryEntry const*> const& eligible,
+/// The id of the target that would be used if the known load reports were recent, and its cost.
+std::optional<std::pair<std::string, double>> bestByKnownReports(std::vector<DirectoryEntry const*> const& eligible,
     Traffic::PlacementRequest const& placement, Traffic::PlacementOptions options, Instant now)
 {
+    std::vector<DirectoryEntry> probed;
+    for (auto const* record : eligible) {
+        if (record->load)
+            probed.push_back(asProbedNow(*record));
+    }
     std::vector<DirectoryEntry const*> reported;
-    std::ranges::copy_if(
-        eligible, std::back_inserter(reported), [](auto const* record) { return record->load.has_value(); });
+    std::ranges::transform(probed, std::back_inserter(reported), [](auto const& record) { return &record; });
     options.maxReportAge = Duration::max();
     options.maxReportAgeForRoom = Duration::max();
-    return Traffic::bestTarget(reported, placement, options, now);
+    auto const choice = Traffic::bestTarget(reported, placement, options, now);
+    if (!choice)
+        return std::nullopt;
+    return std::pair { choice->target->target.id, choice->cost };
 }
 
 DirectoryEntry const* leastInFlight(std::vector<DirectoryEntry const*> const& eligible, Instant now)
@@ -270,8 +287,8 @@
         result.selection = Selection::Probes;
     if (result.selection == Selection::Probes) {
         if (auto const best = bestByKnownReports(eligible, placement, options, context.now)) {
-            result.bestTarget = best->target->target.id;
-            result.bestCost = best->cost;
+            result.bestTarget = best->first;
+            result.bestCost = best->second;
         }
     } else if (result.selection == Selection::TwoRandom) {
         result.bestTarget = leastInFlight(eligible, context.now)->target.id;
--- a/Tests/comfreysaild/TestEntryRouteExplanation.cpp
+++ b/Tests/comfreysaild/TestEntryRouteExplanation.cpp
@@ -351,6 +351,22 @@
     CHECK(explain("GET", "/read/a%2520b%3Fx%3D1%26y%2B").at("path") == "/read/a%20b?x=1&y+");
 }
 
+// Guards against a target that counts as full because of a request that has ended: the daemon probes it again and
+// sends.
+TEST_CASE_METHOD(ExplanationFixture, "EntryRouteExplanation_RequestHasEndedSinceTheLoadReport_TargetIsNotFull")
+{
+    addNamedTarget("t1").load = "0,0,1,100";
+    StopAtScopeEnd const stop(*this);
+    startDaemon();
+    CHECK(send("GET", "/public/1", "", "orders.test").status() == 200);
+    auto const explanation = explain("GET", "/read/1", validKey);
+    CAPTURE(json::serialize(explanation));
+    CHECK(targetOf(explanation, "t1")->at("load").at("sent_since") == 1);
+    CHECK(targetOf(explanation, "t1")->at("left_out").is_null());
+    CHECK(explanation.at("outcome") == "sent");
+    CHECK(explanation.at("services").at(0).at("best_target") == "t1");
+}
+
 // Guards against an explanation that hides a shortage: the daemon refuses a part of the less urgent requests then, and
 // an operator would look for a fault elsewhere.
 TEST_CASE_METHOD(ExplanationFixture, "EntryRouteExplanation_ServiceIsShort_TellsWhatThatDoesToTheRequest")
