--- a/Tests/LibOverload/ShortagePlay.cpp
+++ b/Tests/LibOverload/ShortagePlay.cpp
@@ -56,24 +56,18 @@
     }
 }
 
-void ShortagePlay::schedule(Duration after, std::function<void()> run)
+bool ShortagePlay::isBurst() const
 {
-    m_events.push({ m_now + after, ++m_order, std::move(run) });
+    return m_events.now() >= Instant(m_load.burstFrom) && m_events.now() < Instant(m_load.burstUntil);
 }
 
-bool ShortagePlay::isBurst() const { return m_now >= Instant(m_load.burstFrom) && m_now < Instant(m_load.burstUntil); }
-
 void ShortagePlay::play()
 {
-    schedule(0ms, [this] { changePhases(); });
+    m_events.schedule(0ms, [this] { changePhases(); });
     for (size_t kind = 0; kind < m_load.kinds.size(); ++kind)
-        schedule(0ms, [this, kind] { arrive(kind); });
-    while (!m_events.empty()) {
-        auto const event = m_events.top();
-        m_events.pop();
-        m_now = event.time;
-        event.run();
-    }
+        m_events.schedule(0ms, [this, kind] { arrive(kind); });
+    while (!m_events.isEmpty())
+        m_events.runNext();
 }
 
 void ShortagePlay::changePhases()
@@ -84,34 +78,35 @@
         target.isLost = isBurst() && index < m_load.targetsLostInBurst;
         noteHistory(target);
     }
-    if (m_now < Instant(m_load.duration))
-        schedule(phase, [this] { changePhases(); });
+    if (m_events.now() < Instant(m_load.duration))
+        m_events.schedule(phase, [this] { changePhases(); });
 }
 
 void ShortagePlay::noteHistory(Target& target)
 {
     target.history.emplace_back(
-        m_now, Traffic::TargetLoad { target.running, target.waiting, m_load.slots, target.slowness });
-    while (target.history.size() > 1 && target.history[1].first <= m_now - m_load.reportDelay)
+        m_events.now(), Traffic::TargetLoad { target.running, target.waiting, m_load.slots, target.slowness });
+    while (target.history.size() > 1 && target.history[1].first <= m_events.now() - m_load.reportDelay)
         target.history.pop_front();
 }
 
 void ShortagePlay::arrive(size_t kind)
 {
-    if (m_now >= Instant(m_load.duration))
+    if (m_events.now() >= Instant(m_load.duration))
         return;
     auto const& load = m_load.kinds[kind];
     auto const rate = load.perSecond * (isBurst() ? load.burst : 1);
     Caller caller;
     caller.kind = kind;
-    caller.startedAt = m_now;
-    caller.deadline = m_now + scaled(load.limit, 0.85 + 0.15 * uniform());
+    caller.startedAt = m_events.now();
+    caller.deadline = m_events.now() + scaled(load.limit, 0.85 + 0.15 * uniform());
     caller.retriesLeft = load.retries;
     caller.isCounted = isBurst();
     if (caller.isCounted)
         ++m_results[kind].callers;
     auto const gap = m_load.isRegular ? 1 / rate : std::exponential_distribution<double>(rate)(m_generator);
-    schedule(std::chrono::duration_cast<Duration>(std::chrono::duration<double>(gap)), [this, kind] { arrive(kind); });
+    m_events.schedule(
+        std::chrono::duration_cast<Duration>(std::chrono::duration<double>(gap)), [this, kind] { arrive(kind); });
     attempt(caller);
 }
 
@@ -120,11 +115,11 @@
     Attempt attempt;
     attempt.caller = caller;
     attempt.daemon = std::uniform_int_distribution<size_t>(0, m_daemons.size() - 1)(m_generator);
-    attempt.arrivedAt = m_now;
+    attempt.arrivedAt = m_events.now();
     auto& route = m_daemons[attempt.daemon].routes[caller.kind];
-    attempt.earlierWait = route.timeouts.note(caller.deadline - m_now);
+    attempt.earlierWait = route.timeouts.note(caller.deadline - m_events.now());
     attempt.draw = uniform();
-    m_daemons[attempt.daemon].offered.note(m_load.kinds[caller.kind].rank, route.work.expected(), m_now);
+    m_daemons[attempt.daemon].offered.note(m_load.kinds[caller.kind].rank, route.work.expected(), m_events.now());
     place(attempt);
 }
 
@@ -134,15 +129,15 @@
     auto& daemon = m_daemons[attempt.daemon];
     auto& route = daemon.routes[attempt.caller.kind];
     Overload::DecisionInput input;
-    input.capacity = daemon.capacity.at(m_now, m_options);
+    input.capacity = daemon.capacity.at(m_events.now(), m_options);
     input.rank = kind.rank;
     input.rankDistance = m_ranks.distance("service", kind.rank);
-    input.moreUrgentPart = daemon.offered.moreUrgentPart(kind.rank, m_now);
-    input.isDepartmentOverShare = daemon.departments.isOverShare(kind.department, m_now);
-    input.waited = m_now - attempt.arrivedAt;
+    input.moreUrgentPart = daemon.offered.moreUrgentPart(kind.rank, m_events.now());
+    input.isDepartmentOverShare = daemon.departments.isOverShare(kind.department, m_events.now());
+    input.waited = m_events.now() - attempt.arrivedAt;
     input.earlierWait = attempt.earlierWait;
     input.latencyTarget = kind.latencyTarget;
-    input.timeLeft = attempt.caller.deadline - m_now;
+    input.timeLeft = attempt.caller.deadline - m_events.now();
     if (route.work.isKnown()) {
         input.typicalWork = route.work.typical();
         input.expectedWork = route.work.expected();
@@ -162,7 +157,7 @@
     auto const& kind = m_load.kinds[attempt.caller.kind];
     auto& route = m_daemons[attempt.daemon].routes[attempt.caller.kind];
     Traffic::PlacementRequest placement;
-    auto const waited = attempt.earlierWait + (m_now - attempt.arrivedAt);
+    auto const waited = attempt.earlierWait + (m_events.now() - attempt.arrivedAt);
     placement.isLate = Traffic::isLate(waited, route.serviceTimes.typical(), kind.latencyTarget);
     if (!route.serviceTimes.isKnown())
         return placement;
@@ -183,9 +178,9 @@
         return;
     }
     entry.load = Traffic::TargetLoad { target.running, target.waiting, m_load.slots, target.slowness };
-    entry.loadMeasuredAt = m_now;
+    entry.loadMeasuredAt = m_events.now();
     entry.sentSinceLoad = 0;
-    daemon.capacity.note(target.history.front().second, m_now - m_load.reportDelay, m_options);
+    daemon.capacity.note(target.history.front().second, m_events.now() - m_load.reportDelay, m_options);
 }
 
 std::optional<Traffic::TargetChoice> ShortagePlay::probeAndChoose(Attempt const& attempt)
@@ -208,7 +203,7 @@
             asked.push_back(entry->target.id);
             askTarget(daemon, std::stoul(entry->target.id));
         }
-        choice = Traffic::bestTarget(eligible, placement, options, m_now);
+        choice = Traffic::bestTarget(eligible, placement, options, m_events.now());
         if (choice && m_options.isEnabled) {
             auto input = inputOf(attempt);
             input.hasTarget = true;
@@ -227,7 +222,7 @@
 void ShortagePlay::place(Attempt const& attempt)
 {
     // The daemon gives the request up, and the caller gets no response.
-    if (m_now >= attempt.caller.deadline)
+    if (m_events.now() >= attempt.caller.deadline)
         return lose(attempt.caller);
     if (auto const choice = probeAndChoose(attempt))
         return send(attempt, std::stoul(choice->target->target.id), choice->cost);
@@ -236,7 +231,7 @@
         auto const decision = Overload::decide(input, m_options);
         if (decision.action == Overload::Action::Wait) {
             m_longestHold = std::max(m_longestHold, input.waited + decision.wait);
-            schedule(decision.wait, [this, attempt] { place(attempt); });
+            m_events.schedule(decision.wait, [this, attempt] { place(attempt); });
             return;
         }
     }
@@ -254,13 +249,13 @@
     auto const input = inputOf(attempt);
     auto const wait = m_options.isEnabled && input.capacity.isShort
         ? Overload::retryAfter(input, m_options, uniform())
-        : Traffic::retryAfter({}, caller.deadline - m_now, uniform());
-    if (caller.retriesLeft == 0 || m_now + roundTrip + wait >= caller.deadline)
+        : Traffic::retryAfter({}, caller.deadline - m_events.now(), uniform());
+    if (caller.retriesLeft == 0 || m_events.now() + roundTrip + wait >= caller.deadline)
         return lose(caller);
     --caller.retriesLeft;
     caller.wasRefused = true;
-    schedule(roundTrip + wait, [this, caller] {
-        m_returnTimes.push_back(m_now);
+    m_events.schedule(roundTrip + wait, [this, caller] {
+        m_returnTimes.push_back(m_events.now());
         m_results[caller.kind].returns += caller.isCounted ? 1 : 0;
         this->attempt(caller);
     });
@@ -272,12 +267,12 @@
 {
     auto& daemon = m_daemons[attempt.daemon];
     ++daemon.entries[index].sentSinceLoad;
-    daemon.departments.noteSent(m_load.kinds[attempt.caller.kind].department, m_now);
-    auto const periodIndex = static_cast<size_t>(m_now.time_since_epoch() / period);
+    daemon.departments.noteSent(m_load.kinds[attempt.caller.kind].department, m_events.now());
+    auto const periodIndex = static_cast<size_t>(m_events.now().time_since_epoch() / period);
     if (m_sendsByPeriod.size() <= periodIndex)
         m_sendsByPeriod.resize(periodIndex + 1, std::vector<unsigned>(m_load.kinds.size()));
     ++m_sendsByPeriod[periodIndex][attempt.caller.kind];
-    schedule(sendDelay, [this, attempt, index, cost, sentAt = m_now] {
+    m_events.schedule(sendDelay, [this, attempt, index, cost, sentAt = m_events.now()] {
         auto& target = m_targets[index];
         if (target.running < m_load.slots && !target.isLost)
             return start(attempt, index, cost, sentAt, false);
@@ -289,7 +284,8 @@
             return;
         }
         // The target is full and has not begun the request.
-        m_daemons[attempt.daemon].departments.noteFinished(m_load.kinds[attempt.caller.kind].department, m_now);
+        m_daemons[attempt.daemon].departments.noteFinished(
+            m_load.kinds[attempt.caller.kind].department, m_events.now());
         auto next = attempt;
         ++next.sends;
         if (next.sends < maxSends)
@@ -311,36 +307,37 @@
         factor *= 0.6 + 0.8 * uniform();
     if (uniform() < m_load.longPart)
         factor *= longFactor;
-    schedule(scaled(m_load.kinds[attempt.caller.kind].work, factor), [this, attempt, index, cost, sentAt, hasWaited] {
-        auto& target = m_targets[index];
-        --target.running;
-        if (!target.queue.empty()) {
-            auto const next = std::move(target.queue.front());
-            target.queue.pop_front();
-            --target.waiting;
-            next();
-        }
-        noteHistory(target);
-        end(attempt, cost, sentAt, hasWaited);
-    });
+    m_events.schedule(
+        scaled(m_load.kinds[attempt.caller.kind].work, factor), [this, attempt, index, cost, sentAt, hasWaited] {
+            auto& target = m_targets[index];
+            --target.running;
+            if (!target.queue.empty()) {
+                auto const next = std::move(target.queue.front());
+                target.queue.pop_front();
+                --target.waiting;
+                next();
+            }
+            noteHistory(target);
+            end(attempt, cost, sentAt, hasWaited);
+        });
 }
 
 void ShortagePlay::end(Attempt const& attempt, double cost, Instant sentAt, bool hasWaited)
 {
     auto const& kind = m_load.kinds[attempt.caller.kind];
     auto& daemon = m_daemons[attempt.daemon];
-    daemon.departments.noteFinished(kind.department, m_now);
-    if (m_now >= attempt.caller.deadline || m_now >= attempt.arrivedAt + kind.timeout)
+    daemon.departments.noteFinished(kind.department, m_events.now());
+    if (m_events.now() >= attempt.caller.deadline || m_events.now() >= attempt.arrivedAt + kind.timeout)
         return lose(attempt.caller);
     auto& route = daemon.routes[attempt.caller.kind];
-    route.serviceTimes.note(m_now - sentAt, cost);
-    route.work.note(m_now - sentAt, cost);
+    route.serviceTimes.note(m_events.now() - sentAt, cost);
+    route.work.note(m_events.now() - sentAt, cost);
     if (hasWaited)
-        route.queueing.note(m_now - attempt.arrivedAt <= kind.latencyTarget);
+        route.queueing.note(m_events.now() - attempt.arrivedAt <= kind.latencyTarget);
     if (!attempt.caller.isCounted)
         return;
     auto& result = m_results[attempt.caller.kind];
-    ++(m_now - attempt.caller.startedAt <= kind.latencyTarget ? result.onTime : result.late);
+    ++(m_events.now() - attempt.caller.startedAt <= kind.latencyTarget ? result.onTime : result.late);
 }
 
 double ShortagePlay::credit() const
--- a/Tests/LibOverload/ShortagePlay.h
+++ b/Tests/LibOverload/ShortagePlay.h
@@ -2,10 +2,10 @@
 
 #include <LibOverload/Overload.h>
 #include <LibTraffic/Traffic.h>
+#include <Support/EventQueue.h>
 #include <deque>
 #include <functional>
 #include <map>
-#include <queue>
 #include <random>
 #include <string>
 #include <vector>
@@ -118,19 +118,8 @@
         Overload::DepartmentShares departments;
         Overload::OfferedWork offered;
     };
-    struct Event {
-        Core::Instant time;
-        uint64_t order { 0 };
-        std::function<void()> run;
-
-        bool operator<(Event const& other) const
-        {
-            return time != other.time ? time > other.time : order > other.order;
-        }
-    };
 
     double uniform() { return std::uniform_real_distribution<double>(0, 1)(m_generator); }
-    void schedule(Core::Duration after, std::function<void()> run);
     bool isBurst() const;
     void changePhases();
     void arrive(size_t kind);
@@ -151,9 +140,7 @@
     Overload::OverloadOptions m_options;
     std::mt19937 m_generator;
     Overload::ServiceRanks m_ranks;
-    Core::Instant m_now {};
-    uint64_t m_order { 0 };
-    std::priority_queue<Event> m_events;
+    EventQueue m_events;
     std::vector<Target> m_targets;
     std::vector<Daemon> m_daemons;
     std::vector<PlayedResult> m_results;
--- a/Tests/LibTraffic/TestConnectionUse.cpp
+++ b/Tests/LibTraffic/TestConnectionUse.cpp
@@ -1,11 +1,11 @@
 #include <LibTraffic/Traffic.h>
+#include <Support/EventQueue.h>
 #include <algorithm>
 #include <array>
 #include <catch2/catch.hpp>
 #include <deque>
 #include <functional>
 #include <map>
-#include <queue>
 #include <random>
 #include <set>
 
@@ -49,21 +49,17 @@
             registered.push_back(m_targets.at(index).registered);
         for (unsigned index = 0; index < daemonCount; ++index) {
             auto& daemon = m_daemons.emplace_back("vm-" + std::to_string(index), zoneOf(index));
-            daemon.directory.replaceAll(registered, m_now);
+            daemon.directory.replaceAll(registered, m_events.now());
         }
     }
 
     Result play()
     {
-        schedule(0ms, [this] { changePhases(); });
-        schedule(0ms, [this] { arrive(); });
-        schedule(joinsAt - start, [this] { joinLast(); });
-        while (m_now < end) {
-            auto const event = m_events.top();
-            m_events.pop();
-            m_now = event.time;
-            event.run();
-        }
+        m_events.schedule(0ms, [this] { changePhases(); });
+        m_events.schedule(0ms, [this] { arrive(); });
+        m_events.schedule(joinsAt - start, [this] { joinLast(); });
+        while (m_events.now() < end)
+            m_events.runNext();
         Result result;
         result.connectionsPerRequest = m_connections / m_requests;
         result.slowFraction = m_slowSends / m_requests;
@@ -91,16 +87,6 @@
     static constexpr Core::Instant joinsAt { start + 50s };
     static constexpr Core::Instant end { start + 60s };
 
-    struct Event {
-        Core::Instant time;
-        uint64_t order { 0 };
-        std::function<void()> run;
-
-        bool operator<(Event const& other) const
-        {
-            return time != other.time ? time > other.time : order > other.order;
-        }
-    };
     struct Target {
         RegisteredTarget registered;
         unsigned running { 0 };
@@ -130,37 +116,33 @@
 
     double uniform(double from, double to) { return std::uniform_real_distribution<double>(from, to)(m_generator); }
 
-    void schedule(Core::Duration after, std::function<void()> run)
-    {
-        m_events.push({ m_now + after, ++m_order, std::move(run) });
-    }
-
     void changePhases()
     {
         for (unsigned index = 0; index <= targetCount; ++index)
             m_targets.at(index).slowness = index < alwaysSlow || uniform(0, 1) < 0.25 ? slowness : 1;
-        schedule(150ms, [this] { changePhases(); });
+        m_events.schedule(150ms, [this] { changePhases(); });
     }
 
     void joinLast()
     {
         for (auto& daemon : m_daemons)
-            daemon.directory.applyChanges({ m_targets.back().registered }, {}, m_now);
+            daemon.directory.applyChanges({ m_targets.back().registered }, {}, m_events.now());
     }
 
     void arrive()
     {
         place(m_daemons[static_cast<size_t>(uniform(0, daemonCount))]);
         auto const gap = std::exponential_distribution<double>(daemonCount * m_requestsPerSecond)(m_generator);
-        schedule(std::chrono::microseconds(static_cast<int>(gap * 1e6)), [this] { arrive(); });
+        m_events.schedule(std::chrono::microseconds(static_cast<int>(gap * 1e6)), [this] { arrive(); });
     }
 
-    bool isCounted() const { return m_now >= countedFrom; }
+    bool isCounted() const { return m_events.now() >= countedFrom; }
 
     bool hasIdle(Daemon const& daemon, unsigned target) const
     {
         auto const found = daemon.idle.find(target);
-        return found != daemon.idle.end() && !found->second.empty() && m_now - found->second.back() <= maxIdleTime;
+        return found != daemon.idle.end() && !found->second.empty()
+            && m_events.now() - found->second.back() <= maxIdleTime;
     }
 
     void takeConnection(Daemon& daemon, unsigned target)
@@ -180,7 +162,8 @@
         if (!m_usesSubset)
             return {};
         auto preference = probePreference(daemon.name, daemon.zone, eligible,
-            { daemonCount, targetCount, daemon.rate.perSecond(m_now) }, {}, isFirstRound, m_generator(), m_now);
+            { daemonCount, targetCount, daemon.rate.perSecond(m_events.now()) }, {}, isFirstRound, m_generator(),
+            m_events.now());
         for (auto const* record : eligible) {
             if (hasIdle(daemon, indexOf(record->target.id)))
                 preference.connected.insert(record->target.id);
@@ -190,7 +173,7 @@
 
     void place(Daemon& daemon)
     {
-        daemon.rate.note(m_now);
+        daemon.rate.note(m_events.now());
         m_requests += isCounted() ? 1 : 0;
         PlacementOptions const options;
         PlacementRequest request;
@@ -198,13 +181,13 @@
         std::vector<std::string> probed;
         std::optional<TargetChoice> choice;
         for (unsigned round = 0; round < options.maxRounds; ++round) {
-            auto const eligible = daemon.directory.eligible("a", std::nullopt, {}, m_now);
+            auto const eligible = daemon.directory.eligible("a", std::nullopt, {}, m_events.now());
             auto const preference = preferenceOf(daemon, eligible, round == 0);
             for (auto const* record : targetsToProbe(eligible, request, probed, options, m_generator(), preference)) {
                 probe(daemon, record->target.id);
                 probed.push_back(record->target.id);
             }
-            choice = bestTarget(eligible, request, options, m_now);
+            choice = bestTarget(eligible, request, options, m_events.now());
             if (choice && choice->cost <= options.goodEnoughCost)
                 break;
         }
@@ -218,12 +201,12 @@
     {
         auto const index = indexOf(id);
         takeConnection(daemon, index);
-        daemon.idle[index].push_back(m_now);
+        daemon.idle[index].push_back(m_events.now());
         auto const& target = m_targets.at(index);
         daemon.directory.noteLoad(id,
             { std::min(target.running, slots), target.running - std::min(target.running, slots), slots,
                 target.slowness },
-            m_now);
+            m_events.now());
     }
 
     void send(Daemon& daemon, unsigned index)
@@ -236,22 +219,20 @@
             ++target.sends;
         }
         if (index == targetCount && !m_joinedUsedAt)
-            m_joinedUsedAt = m_now;
+            m_joinedUsedAt = m_events.now();
         ++target.running;
         auto const work = workMilliseconds * uniform(0.6, 1.4) * target.slowness * (target.running >= slots ? 1.7 : 1);
-        schedule(std::chrono::milliseconds(static_cast<int>(work)), [this, &daemon, index] {
+        m_events.schedule(std::chrono::milliseconds(static_cast<int>(work)), [this, &daemon, index] {
             --m_targets.at(index).running;
             daemon.directory.noteEnded(m_targets.at(index).registered.id);
-            daemon.idle[index].push_back(m_now);
+            daemon.idle[index].push_back(m_events.now());
         });
     }
 
     std::mt19937_64 m_generator;
     bool m_usesSubset;
     double m_requestsPerSecond;
-    Core::Instant m_now { start };
-    uint64_t m_order { 0 };
-    std::priority_queue<Event> m_events;
+    Tests::EventQueue m_events { start };
     std::array<Target, targetCount + 1> m_targets; ///< The last one joins later.
     std::deque<Daemon> m_daemons;
     double m_connections { 0 };
--- a/Tests/LibTraffic/TestOverload.cpp
+++ b/Tests/LibTraffic/TestOverload.cpp
@@ -1,9 +1,9 @@
 #include <LibTraffic/Traffic.h>
+#include <Support/EventQueue.h>
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <functional>
 #include <list>
-#include <queue>
 #include <random>
 
 using namespace Comfreysail;
@@ -39,14 +39,10 @@
 
     Result play()
     {
-        schedule(0ms, [this] { changePhases(); });
-        schedule(0ms, [this] { arrive(); });
-        while (!m_events.empty() && m_events.top().time < Core::Instant(duration)) {
-            auto const event = m_events.top();
-            m_events.pop();
-            m_now = event.time;
-            event.run();
-        }
+        m_events.schedule(0ms, [this] { changePhases(); });
+        m_events.schedule(0ms, [this] { arrive(); });
+        while (!m_events.isEmpty() && m_events.nextTime() < Core::Instant(duration))
+            m_events.runNext();
         return { m_credit / m_worth, static_cast<double>(m_served) / m_requests };
     }
 
@@ -58,16 +54,6 @@
     static constexpr auto duration = 40s;
     static constexpr auto roundTrip = 16ms;
 
-    struct Event {
-        Core::Instant time;
-        uint64_t order { 0 };
-        std::function<void()> run;
-
-        bool operator<(Event const& other) const
-        {
-            return time != other.time ? time > other.time : order > other.order;
-        }
-    };
     struct Request {
         bool isOrder { false };
         Core::Instant startedAt {};
@@ -82,37 +68,32 @@
 
     double uniform(double from, double to) { return std::uniform_real_distribution<double>(from, to)(m_generator); }
 
-    void schedule(Core::Duration after, std::function<void()> run)
-    {
-        m_events.push({ m_now + after, ++m_order, std::move(run) });
-    }
-
     void changePhases()
     {
         for (auto& target : m_targets)
             target.load->slowness = uniform(0, 1) < 0.25 ? 5 : 1;
-        schedule(150ms, [this] { changePhases(); });
+        m_events.schedule(150ms, [this] { changePhases(); });
     }
 
     void arrive()
     {
         Request request;
         request.isOrder = uniform(0, 1) < fractionOfOrders;
-        request.startedAt = m_now;
+        request.startedAt = m_events.now();
         auto const timeout = (request.isOrder ? 3000 : 2500) * uniform(0.85, 1);
-        request.deadline = m_now + std::chrono::milliseconds(static_cast<int>(timeout));
+        request.deadline = m_events.now() + std::chrono::milliseconds(static_cast<int>(timeout));
         ++m_requests;
         m_worth += request.isOrder ? 2 : 1;
         place(request);
         auto const gap = std::exponential_distribution<double>(requestsPerSecond)(m_generator);
-        schedule(std::chrono::microseconds(static_cast<int>(gap * 1e6)), [this] { arrive(); });
+        m_events.schedule(std::chrono::microseconds(static_cast<int>(gap * 1e6)), [this] { arrive(); });
     }
 
     void place(Request request)
     {
         auto& route = request.isOrder ? m_orders : m_lookups;
         Core::Duration const latencyTarget = request.isOrder ? 400ms : 300ms;
-        auto const waited = route.timeouts.note(request.deadline - m_now);
+        auto const waited = route.timeouts.note(request.deadline - m_events.now());
         PlacementRequest placement;
         placement.isLate = isLate(waited, route.serviceTimes.typical(), latencyTarget);
         auto const maxCost = route.serviceTimes.maxCostWithin(latencyTarget - waited);
@@ -121,8 +102,8 @@
         if (route.queueing.shouldWait(uniform(0, 1)))
             placement.maxCostWithWaiting = maxCost;
         for (auto& target : m_targets)
-            target.loadMeasuredAt = m_now;
-        auto const choice = bestTarget(m_all, placement, {}, m_now);
+            target.loadMeasuredAt = m_events.now();
+        auto const choice = bestTarget(m_all, placement, {}, m_events.now());
         if (choice)
             start(request, *choice);
         else
@@ -132,9 +113,9 @@
     void refuse(Request request)
     {
         auto const wait = roundTrip + std::chrono::milliseconds(static_cast<int>(uniform(100, 400)));
-        if (request.retriesLeft-- == 0 || m_now + wait >= request.deadline)
+        if (request.retriesLeft-- == 0 || m_events.now() + wait >= request.deadline)
             return;
-        schedule(wait, [this, request] { place(request); });
+        m_events.schedule(wait, [this, request] { place(request); });
     }
 
     void start(Request const& request, TargetChoice const& choice)
@@ -147,7 +128,7 @@
         // A waiting request starts when a running one ends; this is its share of the work ahead of it.
         Core::Duration const time = std::chrono::milliseconds(static_cast<int>(work + ahead * mean));
         ++(ahead > 0 ? target.load->waiting : target.load->running);
-        schedule(time, [this, request, &target, cost = choice.cost, isWaiting = ahead > 0, time] {
+        m_events.schedule(time, [this, request, &target, cost = choice.cost, isWaiting = ahead > 0, time] {
             --(isWaiting ? target.load->waiting : target.load->running);
             end(request, cost, isWaiting, time);
         });
@@ -155,11 +136,11 @@
 
     void end(Request const& request, double cost, bool wasWaiting, Core::Duration time)
     {
-        if (m_now >= request.deadline)
+        if (m_events.now() >= request.deadline)
             return;
         auto& route = request.isOrder ? m_orders : m_lookups;
         route.serviceTimes.note(time, cost);
-        bool const isInTime = m_now - request.startedAt <= (request.isOrder ? 400ms : 300ms);
+        bool const isInTime = m_events.now() - request.startedAt <= (request.isOrder ? 400ms : 300ms);
         if (wasWaiting)
             route.queueing.note(isInTime);
         ++m_served;
@@ -168,9 +149,7 @@
 
     std::mt19937 m_generator;
     bool m_refusesWhatEndsLate;
-    Core::Instant m_now {};
-    uint64_t m_order { 0 };
-    std::priority_queue<Event> m_events;
+    Tests::EventQueue m_events;
     std::list<DirectoryEntry> m_targets;
     std::vector<DirectoryEntry const*> m_all;
     Route m_lookups;
--- a/Tests/LibTraffic/TestReturnAdvice.cpp
+++ b/Tests/LibTraffic/TestReturnAdvice.cpp
@@ -1,9 +1,9 @@
 #include <LibTraffic/Traffic.h>
+#include <Support/EventQueue.h>
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <functional>
 #include <map>
-#include <queue>
 #include <random>
 
 using namespace Comfreysail;
@@ -37,7 +37,7 @@
             targets[index].slots = slots;
         }
         for (unsigned index = 0; index < daemonCount; ++index)
-            m_directories.emplace_back("vm-" + std::to_string(index)).replaceAll(targets, m_now);
+            m_directories.emplace_back("vm-" + std::to_string(index)).replaceAll(targets, m_events.now());
     }
 
     /// Returns the part of the clients that got a response in time.
@@ -45,15 +45,11 @@
     {
         for (auto& directory : m_directories) {
             for (unsigned index = 0; index < targetCount; ++index)
-                directory.notePause(std::to_string(index), pause, work, daemonCount, uniform(0, 1), m_now);
-        }
-        schedule(0ms, [this] { arrive(); });
-        while (!m_events.empty()) {
-            auto const event = m_events.top();
-            m_events.pop();
-            m_now = event.time;
-            event.run();
+                directory.notePause(std::to_string(index), pause, work, daemonCount, uniform(0, 1), m_events.now());
         }
+        m_events.schedule(0ms, [this] { arrive(); });
+        while (!m_events.isEmpty())
+            m_events.runNext();
         return static_cast<double>(m_served) / m_clients;
     }
 
@@ -67,16 +63,6 @@
     static constexpr auto pause = 1500ms;
     static constexpr auto timeLimit = 3s;
 
-    struct Event {
-        Core::Instant time;
-        uint64_t order { 0 };
-        std::function<void()> run;
-
-        bool operator<(Event const& other) const
-        {
-            return time != other.time ? time > other.time : order > other.order;
-        }
-    };
     struct Client {
         Core::Instant deadline {};
         unsigned retriesLeft { 2 };
@@ -84,40 +70,35 @@
 
     double uniform(double from, double to) { return std::uniform_real_distribution<double>(from, to)(m_generator); }
 
-    void schedule(Core::Duration after, std::function<void()> run)
-    {
-        m_events.push({ m_now + after, ++m_order, std::move(run) });
-    }
-
     void arrive()
     {
-        if (m_now >= m_start + duration)
+        if (m_events.now() >= m_start + duration)
             return;
         ++m_clients;
-        send({ m_now + timeLimit });
+        send({ m_events.now() + timeLimit });
         auto const gap = std::exponential_distribution<double>(clientsPerSecond)(m_generator);
-        schedule(std::chrono::microseconds(static_cast<int64_t>(gap * 1e6)), [this] { arrive(); });
+        m_events.schedule(std::chrono::microseconds(static_cast<int64_t>(gap * 1e6)), [this] { arrive(); });
     }
 
     void send(Client const& client)
     {
         auto const daemon = static_cast<size_t>(uniform(0, daemonCount));
         auto& directory = m_directories[daemon];
-        auto const eligible = directory.eligible("orders", std::nullopt, {}, m_now);
+        auto const eligible = directory.eligible("orders", std::nullopt, {}, m_events.now());
         if (eligible.empty())
             return refuse(daemon, client);
         auto const id = eligible[static_cast<size_t>(uniform(0, static_cast<double>(eligible.size())))]->target.id;
-        directory.noteChosen(id, daemonCount, m_now);
+        directory.noteChosen(id, daemonCount, m_events.now());
         auto& inFlight = m_inFlight[std::stoul(id)];
         if (inFlight >= slots + queueLength) {
-            directory.notePause(id, pause, work, daemonCount, uniform(0, 1), m_now);
+            directory.notePause(id, pause, work, daemonCount, uniform(0, 1), m_events.now());
             return refuse(daemon, client);
         }
         ++inFlight;
         auto const waiting = inFlight > slots ? (inFlight - slots) * work / slots : 0ms;
-        schedule(work + waiting, [this, &inFlight, client] {
+        m_events.schedule(work + waiting, [this, &inFlight, client] {
             --inFlight;
-            m_served += m_now <= client.deadline ? 1 : 0;
+            m_served += m_events.now() <= client.deadline ? 1 : 0;
         });
     }
 
@@ -126,16 +107,17 @@
         if (client.retriesLeft-- == 0)
             return;
         Core::Duration after = std::chrono::milliseconds(static_cast<int64_t>(uniform(100, 400)));
-        auto const pauses = m_directories[daemon].pausesOf("orders", std::nullopt, {}, m_now);
+        auto const pauses = m_directories[daemon].pausesOf("orders", std::nullopt, {}, m_events.now());
         if (m_advice == Advice::InOrder && !pauses.empty()) {
             auto& queue = m_queues[daemon];
-            auto const advice = adviseReturn(pauses, queue.ahead(m_now), client.deadline - m_now, uniform(0, 1), m_now);
+            auto const advice = adviseReturn(
+                pauses, queue.ahead(m_events.now()), client.deadline - m_events.now(), uniform(0, 1), m_events.now());
             if (advice.hasPlace)
-                queue.noteReturn(m_now + advice.after, m_now);
+                queue.noteReturn(m_events.now() + advice.after, m_events.now());
             after = advice.after;
         }
-        schedule(after, [this, client] {
-            if (m_now + work < client.deadline)
+        m_events.schedule(after, [this, client] {
+            if (m_events.now() + work < client.deadline)
                 send(client);
         });
     }
@@ -143,9 +125,7 @@
     std::mt19937 m_generator;
     Advice m_advice;
     Core::Instant const m_start { 1h };
-    Core::Instant m_now { m_start };
-    uint64_t m_order { 0 };
-    std::priority_queue<Event> m_events;
+    Tests::EventQueue m_events { m_start };
     std::vector<TargetDirectory> m_directories;
     std::vector<PauseQueue> m_queues;
     std::vector<unsigned> m_inFlight;
