--- a/Services/comfreysaild/StoreFollower.cpp
+++ b/Services/comfreysaild/StoreFollower.cpp
@@ -382,12 +382,12 @@
     if (isRegistered || wasTried || !m_state.hasReadTargets)
         co_return;
     m_registeredAt = now;
-    // The others get the members from a seed.
+    // Other daemons get the members from a seed, which saves calls to the store at a first start.
     bool const mustReadMembers = rows.empty() && (m_seeds.empty() || isSeed());
     Platform::StoreRow row { "", m_self.name, text, 0, std::string(Platform::Table::members) };
     co_await m_reader.write(std::move(row), false);
-    // A daemon without members takes the limits of targets for its own alone. If the store were lost before the next
-    // read of this table, that would last as long as the outage.
+    // A daemon that knows no members uses the whole of a limit that a target names. If the store were lost before the
+    // next read of this table, it would do so for the whole outage.
     if (mustReadMembers && co_await m_reader.readTable(Platform::Table::members))
         adoptRows();
 }
