--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,95 +1,86 @@
-"""A backend's heartbeat that the store performs late overtakes the same backend's report that it is draining."""
+"""A daemon is stopped while a client still reads a download; the client sends a further request on that connection."""
 import asyncio
 import os
+import signal
+import socket
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib-2"))
-from standins import BOUNDS, TROUBLE, Backend, Client, Cluster, config, finish, now, route, service
+from standins import TROUBLE, Backend, Cluster, config, finish, now, read_head, request, route, service
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
-RATE = 200
-BACKENDS = 8
-LOST_FOR_S = 4.5   # platform_lost on jtsu-gateway
-HEARTBEAT_S = 1.5
-LATE_S = 5.2       # "done 1 to 6 s later"
-SERVES_ON_S = 2.9  # "drain-s after the store has accepted that report and a little longer"
+SIZE = 540_000  # the largest download on jtsu-gateway
+READ_RATE = 120_000  # bytes a second
+NEXT_AT = 3.4  # s after its first request, when the client sends its next request
+STOP_AT = 0.8  # s after the first requests
+CLIENTS = 8
 
 
 async def main():
     cluster = Cluster(FOLDER)
     record, store = cluster.record, cluster.store
-    client = Client(record)
-    arrivals = []
-    results = []
-    tasks = []
+    gets = {}
 
-    def note(backend, request, head):
-        arrivals.append((client.sent_at[request], now(), backend.name, request))
+    def note(backend, request_id, head):
+        gets[request_id] = now()
 
-    backends = []
-    for i in range(BACKENDS):
-        backend = Backend(store, record, f"i-{i}", "orders", slots=8, tells_load=False, work=lambda head, body: (200, b"ok", 0.2))
+    for i in range(4):
+        backend = Backend(store, record, f"i-gallery-{i}", "gallery", slots=8,
+                          work=lambda head, body: (200, b"x" * SIZE, 0.05))
         backend.on_arrival = note
-        backends.append(await backend.start())
-    await cluster.start(config(7, [route("r-submit", "/submit/", "unsafe", "orders"),
-                                   route("r-status", "/status/", "safe", "orders")], [service("orders")]))
+        await backend.start()
+    await cluster.start(config(7, [route("r-photo", "/photo/", "download", "gallery", timeout_s=8, aim_s=1)],
+                               [service("gallery")]))
+    daemon = cluster.daemons[0]
+    results = {}
 
-    async def one(n):
-        kind = ("POST", "/submit/", b"order") if n % 2 == 0 else ("GET", "/status/", b"")
-        results.append((kind[1], await client.send(cluster.daemons[n % 3], kind[0], kind[1] + str(n), 1200, kind[2])))
+    async def client(n):
+        first, second = f"{n:06x}1", f"{n:06x}2"
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16384)
+        sock.setblocking(False)
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(sock, ("127.0.0.1", daemon.ports["front"]))
+        record.note(f"client sends {first}")
+        start = now()
+        await loop.sock_sendall(sock, request("GET", f"/photo/{n}", first, 10000))
+        data = b""
+        has_sent = False
+        error = "end of the connection"
+        head_end = -1
+        try:
+            while True:
+                part = await asyncio.wait_for(loop.sock_recv(sock, 4096), 8)
+                if not part:
+                    break
+                data += part
+                if head_end < 0:
+                    head_end = data.find(b"\r\n\r\n") + 4
+                if head_end > 3 and len(data) - head_end >= SIZE:
+                    error = "complete"
+                    break
+                if not has_sent and now() - start >= NEXT_AT:
+                    has_sent = True
+                    record.note(f"client sends {second} behind {first}")
+                    await loop.sock_sendall(sock, request("GET", f"/photo/{n}b", second, 6000))
+                await asyncio.sleep(max(0, len(data) / READ_RATE - (now() - start)))
+        except (OSError, asyncio.TimeoutError) as caught:
+            error = type(caught).__name__
+        sock.close()
+        results[first] = error == "complete"
+        says_close = b"connection: close" in data[:max(head_end, 0)].lower()
+        record.say(f"client: {first} after {now() - start:.2f} s: {max(len(data) - head_end, 0)} of {SIZE} bytes, {error}; "
+                   f"the answer {'had' if says_close else 'had no'} Connection: close")
 
-    async def traffic():
-        n = 0
-        while True:
-            n += 1
-            tasks.append(asyncio.create_task(one(n)))
-            await asyncio.sleep(1 / RATE)
-
-    load = asyncio.create_task(traffic())
-    await asyncio.sleep(1)
-    # From here on the heartbeats of this backend are written by the case, at the same interval.
-    leaving = backends[0]
-    leaving.tasks[0].cancel()
-    leaving.beat()
-    begin = now()
-    record.say(f"the store loses answers of writes for {LOST_FOR_S} s" if TROUBLE else "calm")
-
-    async def heartbeats():
-        """The beat at 4.4 s is one of those whose write gets no answer; the store performs it late."""
-        for at in (1.4, 2.9, 4.4, 5.9, 7.4, 8.9, 10.4, 11.9):
-            await asyncio.sleep(begin + at - now())
-            if leaving.state == "stopped":
-                return
-            if at == 4.4 and TROUBLE:
-                entry = leaving.entry()
-                record.say(f"{leaving.name}: heartbeat {entry['sequence']} ({entry['state']}) gets no answer")
-
-                async def late():
-                    await asyncio.sleep(LATE_S)
-                    store.put("servers", leaving.name, entry)
-                    record.say(f"{leaving.name}: heartbeat {entry['sequence']} ({entry['state']}) is performed now")
-                tasks.append(asyncio.create_task(late()))
-            else:
-                leaving.beat()
-                record.note(f"{leaving.name}: heartbeat {leaving.sequence} ({leaving.state})")
-    tasks.append(asyncio.create_task(heartbeats()))
-    # The store is stable again contact-s after the disturbance.
-    await asyncio.sleep(begin + LOST_FOR_S + BOUNDS["contact-s"] + 0.05 - now())
-    ack = leaving.drain()
-    record.say(f"{leaving.name} reports draining with sequence {leaving.sequence}, acknowledged at {ack:.3f}")
-    await asyncio.sleep(SERVES_ON_S)
-    await leaving.stop()
-    record.say(f"{leaving.name} ends")
-    await asyncio.sleep(2)
-    load.cancel()
+    tasks = [asyncio.create_task(client(n)) for n in range(CLIENTS)]
+    await asyncio.sleep(STOP_AT)
+    if TROUBLE:
+        daemon.may_end = True
+        daemon.signal(signal.SIGTERM)
+        record.say(f"SIGTERM to {daemon.name}")
     await asyncio.gather(*tasks, return_exceptions=True)
-    late = [(sent, request) for sent, at, name, request in arrivals
-            if name == leaving.name and at > ack + BOUNDS["drain-s"]]
-    failed = [path for path, (_, result) in results if not result.startswith("200")]
-    finish(cluster, bool(late),
-           f"DRAIN: requests that reached {leaving.name} later than drain-s after the ack: {len(late)}, sent "
-           f"{min(late, default=(ack,))[0] - ack:.2f} to {max(late, default=(ack,))[0] - ack:.2f} s after it; requests "
-           f"without success: {len(failed)}, of them orders: {sum(1 for path in failed if path == '/submit/')}")
+    lost = [request_id for request_id, is_whole in results.items() if not is_whole and request_id in gets]
+    finish(cluster, bool(lost), f"LOST: downloads that a backend has run and that ended early: {len(lost)}")
 
 
 asyncio.run(main())
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,86 +1,83 @@
-"""A daemon is stopped while a client still reads a download; the client sends a further request on that connection."""
+"""A backend of a service that does not tell its load becomes cold again while it serves."""
 import asyncio
 import os
-import signal
-import socket
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib-2"))
-from standins import TROUBLE, Backend, Cluster, config, finish, now, read_head, request, route, service
+from standins import BOUNDS, TROUBLE, Backend, Client, Cluster, config, finish, now, route, service
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
-SIZE = 540_000  # the largest download on jtsu-gateway
-READ_RATE = 120_000  # bytes a second
-NEXT_AT = 3.4  # s after its first request, when the client sends its next request
-STOP_AT = 0.8  # s after the first requests
-CLIENTS = 8
+RATE = 120         # requests a second
+BACKENDS = 4
+COLD_PER_S = 4.8   # of the service, as on jtsu-gateway
+COLD_S = 3.0       # cold-start-s
+CRASH_FACTOR = 3   # "crashes at a rate well above that"
 
 
 async def main():
     cluster = Cluster(FOLDER)
     record, store = cluster.record, cluster.store
-    gets = {}
+    client = Client(record)
+    cold_arrivals = []  # (sent, arrived) while the backend was cold
+    crashes = []
+    tasks = []
 
-    def note(backend, request_id, head):
-        gets[request_id] = now()
+    async def crash(backend):
+        record.say(f"{backend.name} gets too many requests while it is cold, and crashes")
+        crashes.append(now())
+        await backend.stop(crash=True)
 
-    for i in range(4):
-        backend = Backend(store, record, f"i-gallery-{i}", "gallery", slots=8,
-                          work=lambda head, body: (200, b"x" * SIZE, 0.05))
+    def note(backend, request, head):
+        if now() >= backend.cold_until or backend.state != "ready":
+            return
+        cold_arrivals.append((client.sent_at[request], now()))
+        if sum(1 for _, at in cold_arrivals if at > now() - 1) > CRASH_FACTOR * COLD_PER_S and not crashes:
+            tasks.append(asyncio.create_task(crash(backend)))
+
+    backends = []
+    for i in range(BACKENDS):
+        backend = Backend(store, record, f"i-{i}", "orders", slots=8, tells_load=False,
+                          work=lambda head, body: (200, b"ok", 0.2))
         backend.on_arrival = note
-        await backend.start()
-    await cluster.start(config(7, [route("r-photo", "/photo/", "download", "gallery", timeout_s=8, aim_s=1)],
-                               [service("gallery")]))
-    daemon = cluster.daemons[0]
-    results = {}
+        backends.append(await backend.start())
+    await cluster.start(config(7, [route("r-submit", "/submit/", "unsafe", "orders"),
+                                   route("r-status", "/status/", "safe", "orders")], [service("orders", COLD_PER_S)]))
+
+    results = []
 
-    async def client(n):
-        first, second = f"{n:06x}1", f"{n:06x}2"
-        sock = socket.socket()
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16384)
-        sock.setblocking(False)
-        loop = asyncio.get_running_loop()
-        await loop.sock_connect(sock, ("127.0.0.1", daemon.ports["front"]))
-        record.note(f"client sends {first}")
-        start = now()
-        await loop.sock_sendall(sock, request("GET", f"/photo/{n}", first, 10000))
-        data = b""
-        has_sent = False
-        error = "end of the connection"
-        head_end = -1
-        try:
-            while True:
-                part = await asyncio.wait_for(loop.sock_recv(sock, 4096), 8)
-                if not part:
-                    break
-                data += part
-                if head_end < 0:
-                    head_end = data.find(b"\r\n\r\n") + 4
-                if head_end > 3 and len(data) - head_end >= SIZE:
-                    error = "complete"
-                    break
-                if not has_sent and now() - start >= NEXT_AT:
-                    has_sent = True
-                    record.note(f"client sends {second} behind {first}")
-                    await loop.sock_sendall(sock, request("GET", f"/photo/{n}b", second, 6000))
-                await asyncio.sleep(max(0, len(data) / READ_RATE - (now() - start)))
-        except (OSError, asyncio.TimeoutError) as caught:
-            error = type(caught).__name__
-        sock.close()
-        results[first] = error == "complete"
-        says_close = b"connection: close" in data[:max(head_end, 0)].lower()
-        record.say(f"client: {first} after {now() - start:.2f} s: {max(len(data) - head_end, 0)} of {SIZE} bytes, {error}; "
-                   f"the answer {'had' if says_close else 'had no'} Connection: close")
+    async def one(n):
+        kind = ("POST", "/submit/", b"order") if n % 2 == 0 else ("GET", "/status/", b"")
+        results.append((now(), kind[1], await client.send(cluster.daemons[n % 3], kind[0], kind[1] + str(n), 1200,
+                                                          kind[2])))
 
-    tasks = [asyncio.create_task(client(n)) for n in range(CLIENTS)]
-    await asyncio.sleep(STOP_AT)
+    async def traffic():
+        n = 0
+        while True:
+            n += 1
+            tasks.append(asyncio.create_task(one(n)))
+            await asyncio.sleep(1 / RATE)
+
+    load = asyncio.create_task(traffic())
+    await asyncio.sleep(5)
+    cold = backends[0]
+    became_cold = now()
     if TROUBLE:
-        daemon.may_end = True
-        daemon.signal(signal.SIGTERM)
-        record.say(f"SIGTERM to {daemon.name}")
+        # Its entry in the store tells it with the next regular heartbeat, its health responses at once.
+        cold.cold_until = now() + COLD_S
+        record.say(f"{cold.name} is cold for {COLD_S} s")
+    await asyncio.sleep(5)
+    load.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
-    lost = [request_id for request_id, is_whole in results.items() if not is_whole and request_id in gets]
-    finish(cluster, bool(lost), f"LOST: downloads that a backend has run and that ended early: {len(lost)}")
+
+    allowed = COLD_PER_S * BOUNDS["cold-factor"] + BOUNDS["cold-slack"]
+    # Sliding windows; a request counts if it was sent and arrived inside one.
+    most = max((sum(1 for sent, arrived in cold_arrivals if sent >= start and arrived <= start + 1)
+                for start, _ in cold_arrivals), default=0)
+    lost = [path for at, path, (_, result) in results if at >= became_cold and not result.startswith("200")]
+    finish(cluster, most > allowed,
+           f"FAILBACK: the cold backend got {most} requests in one second (allowed {allowed:.1f}); it crashed "
+           f"{len(crashes)} times; requests without success from then on: {len(lost)}, of them orders: "
+           f"{sum(1 for path in lost if path == '/submit/')}")
 
 
 asyncio.run(main())
