End the daemons of a script also when it is stopped

Cause: a script that its time limit ended left its daemons running. Change: the stand-ins end them at SIGTERM and after an error.

--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -5,6 +5,7 @@
 seconds since the start of the case, on the steady clock.
 """
 import asyncio
+import atexit
 import base64
 import json
 import os
@@ -369,7 +370,9 @@
         self.zone, self.memory_mb, self.bootstrap = zone, memory_mb, True
         self.store = Store(self.record)
         self.daemons = [Daemon(self, i) for i in range(daemons)]
-        self.config_version = 7
+        # Also after an error, and when run.sh ends a script that takes too long.
+        atexit.register(self.stop)
+        signal.signal(signal.SIGTERM, self.give_up)
 
     async def start(self, config):
         await self.store.start()
@@ -387,7 +390,13 @@
         self.stop()
         sys.exit(2)
 
+    def give_up(self, *_):
+        self.stop()
+        os._exit(2)
+
     def stop(self):
+        if not os.path.exists(self.folder):
+            return
         for daemon in self.daemons:
             if daemon.process and daemon.process.poll() is not None and not daemon.may_end:
                 self.record.say(f"{daemon.name} ended by itself with {daemon.process.returncode}")
