--- a/review/11/play.py
+++ b/review/11/play.py
@@ -1,4 +1,5 @@
-"""A request that crashes each backend that begins to run it, on a route that is split over three services."""
+"""Many users come at once to a service whose backends reset connections when they are full. A lookup on a route that was
+added later is refused from then on."""
 
 import asyncio
 import os
@@ -6,81 +7,94 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib-3"))
 import standins
-from standins import BOUNDS, now
+from standins import now
 
-SERVICES = ("caretaker-desk", "stone-gallery", "trust-ledger")
+SERVICE = "caretaker-desk"
 ZONES = ("gw-rajkot", "gw-jamnagar", "gw-bhavnagar")
-LENGTH_S = 80
-PAUSE_S = 2.0
-MAX_RETRIES = 3
+BACKENDS = 6
+WORK_S = 0.09
+USUAL_PER_S = 100
+LATE_EVERY = 20  # One request of so many is on the route that was added later.
+BURST = 1.7
+BURST_S = 5.0
+BURSTS = 3
+CALM_S = 6.0
+SETTLE_S = 5.0
+STEADY_S = 20.0
+LATE_PATH = "/today/list"
 
 
-def manifest():
+def manifest(version, has_late_route):
+    routes = [
+        {"name": "plots", "host": "moss.example", "prefix": "/plots/", "kind": "safe", "timeout-s": 1.2,
+         "target-latency-s": 0.25, "priority": 2, "max-attempts": 2, "service": SERVICE}]
+    if has_late_route:
+        routes.append({**routes[0], "name": "today", "prefix": "/today/"})
     return {
-        "version": 7,
-        "routes": [
-            {"name": "charge", "host": "moss.example", "prefix": "/charge/", "kind": "unsafe", "timeout-s": 0.8,
-             "target-latency-s": 0.3, "priority": 1, "max-attempts": 2,
-             "split": [{"service": service, "weight": 1} for service in SERVICES]},
-            {"name": "plots", "host": "moss.example", "prefix": "/plots/", "kind": "safe", "timeout-s": 1.2,
-             "target-latency-s": 0.25, "priority": 2, "max-attempts": 2, "service": SERVICES[0]},
-        ],
-        "services": [{"name": service, "health-path": "/health", "max-conns": 220, "protocol": "h1", "tls": False,
-                      "cold-start-s": 3.0, "cold-per-s": 6.3} for service in SERVICES],
+        "version": version, "routes": routes,
+        "services": [{"name": SERVICE, "health-path": "/health", "max-conns": 220, "protocol": "h1", "tls": False,
+                      "cold-start-s": 3.0, "cold-per-s": 6.3}],
         "limits": {"max-header-bytes": 16384, "max-body-bytes": 67108864, "header-timeout-s": 3, "idle-timeout-s": 15},
     }
 
 
+def share_served(answers):
+    return sum(1 for answer in answers if answer.status == 200) / max(1, len(answers))
+
+
 async def play(cluster, has_trouble):
-    cluster.platform.put("op", "config", manifest())
-    for service in SERVICES:
-        for index in range(6):
-            backend = await cluster.add_backend(f"{service}-{index}", service, ZONES[index % 3])
-            backend.crashes_on = "/charge/poison" if has_trouble else None
+    cluster.platform.put("op", "config", manifest(7, False))
+    for index in range(BACKENDS):
+        backend = await cluster.add_backend(f"desk-{index}", SERVICE, ZONES[index % 3], work_s=WORK_S)
+        backend.tells_load = False
+        backend.resets_when_full = True
     await cluster.start_machines(ZONES)
-    await asyncio.sleep(3)
-    begin = now()
-    is_done = asyncio.Event()
+    await asyncio.sleep(2)
+    cluster.platform.put("op", "config", manifest(9, True))
+    await asyncio.sleep(4)
+    first = []
+    late = []
+    tasks = []
+    count = 0
 
-    async def ordinary():
-        # Ordinary load beside it: other charges, and lookups.
-        count = 0
-        while not is_done.is_set():
+    async def one(index):
+        is_late = index % LATE_EVERY == 0
+        path = LATE_PATH if is_late else f"/plots/{index}"
+        machine = cluster.machines[(index + index // LATE_EVERY) % 3]
+        (late if is_late else first).append(await cluster.request(machine, "GET", path))
+
+    async def traffic(seconds, per_s):
+        nonlocal count
+        begin = now()
+        sent = 0
+        while now() < begin + seconds:
+            tasks.append(asyncio.create_task(one(count)))
             count += 1
-            machine = cluster.machines[count % 3]
-            path = f"/plots/{count}" if count % 3 else f"/charge/{count}"
-            asyncio.create_task(
-                cluster.request(machine, "POST" if path.startswith("/charge") else "GET", path, body=b"{}"))
-            await asyncio.sleep(0.1)
+            sent += 1
+            await asyncio.sleep(max(0.0, begin + sent / per_s - now()))
 
-    load = asyncio.create_task(ordinary())
-    sent = {}
-    count = 0
-    while now() < begin + LENGTH_S:
-        machine = cluster.machines[count % 3]
-        count += 1
-        answer = await cluster.request(machine, "POST", "/charge/poison", body=b'{"plot": 4711}')
-        sent[answer.request_id] = answer
-        await asyncio.sleep(PAUSE_S)
-    is_done.set()
-    await load
-    await asyncio.sleep(1)
+    await traffic(CALM_S, USUAL_PER_S)
+    for index in range(BURSTS):
+        cluster.record.note("burst" if has_trouble else "no burst")
+        await traffic(BURST_S, USUAL_PER_S * (BURST if has_trouble else 1))
+        cluster.record.note("usual traffic")
+        await traffic(SETTLE_S, USUAL_PER_S)
+    steady_at = now()
+    await traffic(STEADY_S, USUAL_PER_S)
+    await asyncio.gather(*tasks)
 
-    arrivals = sorted((time, request_id) for backend in cluster.backends for time, request_id in backend.runs
-                      if request_id in sent)
-    print(f"{len(sent)} attempts of the request; it ran at {len(arrivals)} backends")
-    if not has_trouble:
-        # Nothing crashes, so the rule has nothing to judge; the request must simply be served.
-        failed = [answer for answer in sent.values() if answer.status != 200]
-        return [f"{len(failed)} attempts were not served"] if len(failed) > len(sent) / 4 else []
-    if len(arrivals) < 3:
-        raise standins.CannotRun("the request crashed fewer than three backends")
-    third = arrivals[2][0]
-    retries = {request_id for _, request_id in arrivals if sent[request_id].sent_at > third + BOUNDS["contact-s"]}
-    print(f"third crash at {third:.2f} s; {len(retries)} retries sent more than {BOUNDS['contact-s']} s later reached backends:")
-    for request_id in sorted(retries):
-        print(f"  {request_id}, sent at {sent[request_id].sent_at:.2f} s")
-    return [f"BUDGET: {len(retries)} retries reached backends, at most {MAX_RETRIES} may"] if len(retries) > MAX_RETRIES else []
+    steady_first = [answer for answer in first if answer.sent_at >= steady_at]
+    steady_late = [answer for answer in late if answer.sent_at >= steady_at]
+    refused = [answer for answer in steady_late if answer.fields and answer.fields.get("comfreysail-error") == "request_quarantined"]
+    print(f"all the time: first route {share_served(first):.3f} of {len(first)} served, later route {share_served(late):.3f} of "
+          f"{len(late)}; full backends rejected {sum(backend.resets for backend in cluster.backends)}")
+    print(f"steady state, {SETTLE_S} s after the last burst: first route {share_served(steady_first):.3f} of {len(steady_first)} "
+          f"served, later route {share_served(steady_late):.3f} of {len(steady_late)}; {len(refused)} refused as "
+          "request_quarantined")
+    if len(steady_late) >= 20 and share_served(steady_late) < 0.25 * share_served(steady_first):
+        return [f"CONFIG: the route that was added later is served {share_served(steady_late):.3f}, the first one "
+                f"{share_served(steady_first):.3f}"]
+    return []
 
 
 standins.main(play)
--- a/review/lib-3/standins.py
+++ b/review/lib-3/standins.py
@@ -217,12 +217,18 @@
         self.running = 0
         self.waiting = 0
         self.runs = []  # (time, request id)
+        self.arrivals = []  # The same, also of requests that are rejected.
         self.writers = set()
         self.server = None
         self.beat = None
         self.free = asyncio.Condition()
         self.crashes_on = None  # Path prefix of requests that end the backend.
         self.restart_s = 3.0
+        self.tells_load = True  # If not, a health probe waits for a slot or is rejected like any other request.
+        self.resets_when_full = False
+        self.resets = 0
+        self.cold_until = 0.0
+        self.cold_spans = []  # (start, end)
 
     @property
     def id(self):
@@ -242,7 +248,22 @@
     def register(self):
         self.cluster.platform.put("servers", self.id, {
             "service": self.service, "addr": f"127.0.0.1:{self.port}", "zone": self.zone, "version": self.version,
-            "slots": self.slots, "state": self.state, "cold-left-s": 0, "sequence": self.sequence, "born": self.born})
+            "slots": self.slots, "state": self.state, "cold-left-s": round(self.cold_left(), 3),
+            "sequence": self.sequence, "born": self.born})
+
+    def cold_left(self):
+        return max(0.0, self.cold_until - now())
+
+    def become_cold(self, seconds):
+        """The registration says so with the next beat, health responses at once."""
+        self.cold_until = now() + seconds
+        self.cold_spans.append((now(), self.cold_until))
+        self.cluster.record.note(f"cold {self.id} for {seconds} s")
+
+    def load_field(self):
+        if not self.tells_load:
+            return ""
+        return f"X-Comfreysail-Backend-Load: {self.running},{self.waiting},{self.slots},100\r\n"
 
     async def send_beats(self):
         while True:
@@ -290,33 +311,28 @@
 
     async def answer(self, head, body, writer):
         method, path, _ = head.first.split(" ")
-        load = f"{self.running},{self.waiting},{self.slots},100"
         if path == "/health":
+            if not self.tells_load and not await self.take_slot(head, writer, ""):
+                return not self.resets_when_full
             status = "200 OK" if self.state == "ready" else "503 Service Unavailable"
-            writer.write(f"HTTP/1.1 {status}\r\nX-Comfreysail-Instance-Id: {self.id}\r\n"
-                         f"X-Comfreysail-Backend-Load: {load}\r\nContent-Length: 0\r\n\r\n".encode())
+            cold = f"X-Comfreysail-Cold-Ms: {int(self.cold_left() * 1000)}\r\n" if self.cold_left() > 0 else ""
+            writer.write(f"HTTP/1.1 {status}\r\nX-Comfreysail-Instance-Id: {self.id}\r\n{cold}{self.load_field()}"
+                         "Content-Length: 0\r\n\r\n".encode())
+            if not self.tells_load:
+                await self.free_slot()
             await writer.drain()
             return True
         request_id = head.field("x-comfreysail-request-id", "")
+        self.arrivals.append((now(), request_id))
         expected = head.field("x-comfreysail-expect-instance")
         if expected and expected != self.id:
             writer.write(f"HTTP/1.1 421 Misdirected Request\r\nX-Comfreysail-Request-Id: {request_id}\r\n"
                          f"X-Comfreysail-Instance-Id: {self.id}\r\nContent-Length: 0\r\n\r\n".encode())
             await writer.drain()
             return True
-        if self.running >= self.slots and self.waiting >= self.queue:
-            writer.write(f"HTTP/1.1 503 Service Unavailable\r\nX-Comfreysail-Request-Id: {request_id}\r\n"
-                         f"X-Comfreysail-Not-Executed: 1\r\nX-Comfreysail-Backend-Load: {load}\r\n"
-                         "Content-Length: 0\r\n\r\n".encode())
-            await writer.drain()
-            return True
         incarnation = self.incarnation
-        async with self.free:
-            self.waiting += 1
-            while self.running >= self.slots:
-                await self.free.wait()
-            self.waiting -= 1
-            self.running += 1
+        if not await self.take_slot(head, writer, request_id):
+            return not self.resets_when_full
         self.runs.append((now(), request_id))
         self.cluster.record.note(f"run {request_id} at {self.id} of {self.service} {self.version} {method} {path}")
         if self.crashes_on and path.startswith(self.crashes_on):
@@ -326,12 +342,35 @@
             return await self.work(head, body, writer, request_id)
         finally:
             if incarnation == self.incarnation:
-                async with self.free:
-                    self.running -= 1
-                    self.free.notify_all()
+                await self.free_slot()
+
+    async def take_slot(self, head, writer, request_id):
+        """Waits for a slot. Rejects the request and returns False if the queue is full."""
+        if self.running >= self.slots and self.waiting >= self.queue:
+            self.resets += 1
+            if self.resets_when_full:
+                self.cluster.record.note(f"full {self.id} resets the connection of {request_id or 'a health probe'}")
+                writer.transport.abort()
+                return False
+            writer.write(f"HTTP/1.1 503 Service Unavailable\r\nX-Comfreysail-Request-Id: {request_id}\r\n"
+                         f"X-Comfreysail-Not-Executed: 1\r\n{self.load_field()}Content-Length: 0\r\n\r\n".encode())
+            await writer.drain()
+            return False
+        async with self.free:
+            self.waiting += 1
+            while self.running >= self.slots:
+                await self.free.wait()
+            self.waiting -= 1
+            self.running += 1
+        return True
+
+    async def free_slot(self):
+        async with self.free:
+            self.running -= 1
+            self.free.notify_all()
 
     async def work(self, head, body, writer, request_id):
-        await asyncio.sleep(self.work_s)
+        await asyncio.sleep(self.work_s * (2 if self.cold_left() > 0 else 1))
         self.send_answer(writer, request_id, f"answer to {request_id}\n".encode())
         await writer.drain()
         return True
@@ -340,8 +379,7 @@
         writer.write(
             f"HTTP/1.1 {status}\r\nX-Comfreysail-Request-Id: {request_id}\r\n"
             f"X-Comfreysail-Backend-Signature: sig-{request_id}\r\n"
-            f"X-Comfreysail-Backend-Load: {self.running},{self.waiting},{self.slots},100\r\n"
-            f"Content-Length: {len(body)}\r\n\r\n".encode() + body)
+            f"{self.load_field()}Content-Length: {len(body)}\r\n\r\n".encode() + body)
 
 
 class Machine:
