--- a/review/11/play.py
+++ b/review/11/play.py
@@ -13,13 +13,13 @@
 ZONES = ("gw-rajkot", "gw-jamnagar", "gw-bhavnagar")
 BACKENDS = 6
 WORK_S = 0.09
-USUAL_PER_S = 100
+USUAL_PER_S = 110
 LATE_EVERY = 20  # One request of so many is on the route that was added later.
 BURST = 1.7
 BURST_S = 5.0
 BURSTS = 3
 CALM_S = 6.0
-SETTLE_S = 5.0
+SETTLE_S = 6.0
 STEADY_S = 20.0
 LATE_PATH = "/today/list"
 
