comfreysaild: Keep a rolled-back version out after the next order

Cause: allowedVersion() took the version with the most ready targets for the old one, and adoptMoves() forgot the order before with its result. Ruled out: a verdict that is written late (the status said rolled_back a second before the order) and scale_in alone (without it only the names of the versions decide).

Change: VersionHistory holds the version of the last completed move and those whose move was not completed, and sourceVersion() decides by it. The row that says when a move began also holds the history, for daemons that start later. The same holds for a move that is replaced while it runs, an order back to the old version, an order after a completed move, and one that is withdrawn.

--- a/Libraries/LibTraffic/Traffic.h
+++ b/Libraries/LibTraffic/Traffic.h
@@ -33,4 +33,5 @@
 #include <LibTraffic/TargetSignals.h>
 #include <LibTraffic/TargetSubset.h>
 #include <LibTraffic/TrafficPlan.h>
+#include <LibTraffic/VersionHistory.h>
 #include <LibTraffic/VersionMove.h>
--- a/Services/comfreysaild/EntryState.cpp
+++ b/Services/comfreysaild/EntryState.cpp
@@ -77,25 +77,31 @@
 std::optional<std::string> allowedVersion(
     EntryState const& state, std::string_view service, double uniform, Core::Instant now)
 {
+    static Traffic::VersionHistory const noHistory;
+    auto const foundHistory = state.versionHistories.find(service);
+    auto const& history = foundHistory == state.versionHistories.end() ? noHistory : foundHistory->second;
     auto const found = state.moves.find(service);
-    if (found == state.moves.end())
-        return std::nullopt;
+    if (found == state.moves.end()) {
+        // The targets of a rejected version may outlast the order.
+        auto const source = history.rejected.empty()
+            ? std::string()
+            : Traffic::sourceVersion(history, state.directory.versionsOf(service), {});
+        return source.empty() ? std::nullopt : std::optional(source);
+    }
     auto const& progress = found->second;
     auto const& to = progress.move.toVersion;
-    auto versions = state.directory.versionsOf(service);
-    bool const hasNew = versions.erase(to) > 0;
-    auto const old = std::ranges::max_element(
-        versions, [](auto const& left, auto const& right) { return left.second < right.second; });
     if (progress.state == MoveState::Completed)
         return to;
+    auto const versions = state.directory.versionsOf(service);
+    auto source = Traffic::sourceVersion(history, versions, to);
     auto const sent = progress.missedTrialStart ? std::numeric_limits<uint64_t>::max() : progress.sentToNewVersion;
     auto const share = progress.state == MoveState::RolledBack
         ? 0
         : Traffic::shareOfNewVersion(
             progress.move, now - progress.startedAt, sent, state.sharedRows.table(Platform::Table::members).size(), {});
-    if (old == versions.end())
+    if (source.empty())
         return progress.state == MoveState::RolledBack ? std::string() : to;
-    return hasNew && uniform < share ? to : old->first;
+    return versions.contains(to) && uniform < share ? to : source;
 }
 
 }
--- a/Services/comfreysaild/EntryState.h
+++ b/Services/comfreysaild/EntryState.h
@@ -51,7 +51,9 @@
     uint64_t planRowRevision { 0 };                   ///< Of the last row with a plan, also a refused one.
     std::set<std::string, std::less<>> zonesOutOfService;
     std::map<std::string, MoveInProgress, std::less<>> moves; ///< By service.
-    Traffic::EvidenceLedger evidence;                         ///< Of all daemons, as far as it arrived here.
+    /// From before the newest order, by service. Kept when the order is withdrawn.
+    std::map<std::string, Traffic::VersionHistory, std::less<>> versionHistories;
+    Traffic::EvidenceLedger evidence; ///< Of all daemons, as far as it arrived here.
     Traffic::EvidenceLedger::Origin evidenceOrigin { std::random_device {}() };
     std::map<std::string, uint64_t, std::less<>> verdicts; ///< Revision of the move order judged bad, by service.
     Traffic::TargetDirectory directory;
--- a/Services/comfreysaild/MoveController.cpp
+++ b/Services/comfreysaild/MoveController.cpp
@@ -88,7 +88,9 @@
     StoreRow row = known == rows.end() ? StoreRow {} : storeRow(service, known->second);
     row.table = Platform::Table::moveStarts;
     row.key = service;
-    row.value = Traffic::moveStartText({ found->second.move.orderedAt, *startedAt });
+    auto const history = m_state.versionHistories.find(service);
+    row.value = Traffic::moveStartText({ found->second.move.orderedAt, *startedAt, found->second.move.toVersion,
+        history == m_state.versionHistories.end() ? Traffic::VersionHistory {} : history->second });
     // Of several daemons that see the order at the same time the first one decides.
     co_await m_reader.write(std::move(row), true);
 }
--- a/Services/comfreysaild/RowAdopter.cpp
+++ b/Services/comfreysaild/RowAdopter.cpp
@@ -1,5 +1,6 @@
 #include "RowAdopter.h"
 
+#include <boost/algorithm/string/join.hpp>
 #include <charconv>
 
 namespace Comfreysail::Daemon {
@@ -106,27 +107,56 @@
     m_state.plan = std::make_shared<Traffic::TrafficPlan const>(takeValue(std::move(plan)));
 }
 
+void RowAdopter::noteMoveEnd(MoveInProgress const& progress)
+{
+    auto& history = m_state.versionHistories[progress.move.service];
+    history = Traffic::historyAfter(std::move(history), progress.move.toVersion, progress.state);
+}
+
 void RowAdopter::adoptMoves(std::vector<Traffic::VersionMove> const& moves)
 {
+    // The result of a move may arrive together with the order that replaces it.
+    adoptResults();
     std::set<std::string, std::less<>> present;
     for (auto const& move : moves) {
         present.insert(move.service);
         auto const found = m_state.moves.find(move.service);
         if (found != m_state.moves.end() && found->second.move.orderedAt >= move.orderedAt)
             continue;
+        if (found != m_state.moves.end())
+            noteMoveEnd(found->second);
         MoveInProgress progress;
         progress.move = move;
         progress.startedAt = Core::monotonicNow();
         m_state.moves.insert_or_assign(move.service, std::move(progress));
-        Telemetry::EventLine("move_ordered").add("service", move.service).add("to", move.toVersion).logInfo();
+        auto const& history = m_state.versionHistories[move.service];
+        Telemetry::EventLine("move_ordered")
+            .add("service", move.service)
+            .add("to", move.toVersion)
+            .add("current", history.current)
+            .add("rejected", boost::algorithm::join(history.rejected, ","))
+            .logInfo();
     }
-    std::erase_if(m_state.moves, [&](auto const& item) { return !present.contains(item.first); });
+    std::erase_if(m_state.moves, [&](auto const& item) {
+        if (present.contains(item.first))
+            return false;
+        noteMoveEnd(item.second);
+        return true;
+    });
     std::set<Traffic::EvidenceLedger::Move> orders;
     for (auto const& [service, progress] : m_state.moves)
         orders.insert(progress.move.orderedAt);
     m_state.evidence.setMoves(orders);
 }
 
+void RowAdopter::noteEarlierStart(std::string const& service, Traffic::MoveStart const& start)
+{
+    // A daemon that was running then knows more than the row, which says nothing about the end of that move.
+    if (start.toVersion.empty() || m_state.versionHistories.contains(service))
+        return;
+    m_state.versionHistories[service] = Traffic::historyAfter(start.history, start.toVersion, MoveState::Running);
+}
+
 void RowAdopter::adoptMoveStarts(Core::Instant now)
 {
     // A daemon that runs hears of an order within this time.
@@ -134,15 +164,21 @@
     for (auto const& [service, text] : m_state.sharedRows.table(Platform::Table::moveStarts)) {
         auto const found = m_state.moves.find(service);
         auto const start = Traffic::parseMoveStart(storeRow(service, text).value);
-        if (found == m_state.moves.end() || !start || found->second.move.orderedAt != start->orderedAt)
+        if (found == m_state.moves.end() || !start)
             continue;
         auto& progress = found->second;
+        if (progress.move.orderedAt > start->orderedAt)
+            noteEarlierStart(service, *start);
+        if (progress.move.orderedAt != start->orderedAt)
+            continue;
         auto const startedAt = m_state.storeClock.instantOf(start->startedAt);
         if (progress.isStartKnown || !startedAt)
             continue;
         progress.isStartKnown = true;
         progress.missedTrialStart = progress.startedAt - *startedAt > maxDelayOfOrder;
         progress.startedAt = std::min(progress.startedAt, *startedAt);
+        auto& history = m_state.versionHistories[service];
+        history = Traffic::mergedHistory(std::move(history), start->history);
         Telemetry::EventLine("move_start_known")
             .add("service", service)
             .add("elapsed_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - progress.startedAt).count())
@@ -168,6 +204,10 @@
         progress.resultRevision = std::max(progress.resultRevision, row.revision);
         bool const isAboutThisOrder
             = valueOf(result).toVersion == progress.move.toVersion && row.revision > progress.move.orderedAt;
+        if (row.revision < progress.move.orderedAt && valueOf(result).state != MoveState::Running) {
+            auto& history = m_state.versionHistories[found->first];
+            history = Traffic::historyAfter(std::move(history), valueOf(result).toVersion, valueOf(result).state);
+        }
         if (isAboutThisOrder && progress.state == MoveState::Running && valueOf(result).state != MoveState::Running)
             endMove(found->first, progress, valueOf(result).state);
     }
--- a/Services/comfreysaild/RowAdopter.h
+++ b/Services/comfreysaild/RowAdopter.h
@@ -29,6 +29,10 @@
 private:
     void adoptPlan(Platform::StoreRow const&);
     void adoptMoves(std::vector<Traffic::VersionMove> const&);
+    /// Adds how a move ended to the history of its service, before another order replaces it.
+    void noteMoveEnd(MoveInProgress const&);
+    /// Takes the history of a service from the start of an earlier order, if this daemon knows none.
+    void noteEarlierStart(std::string const& service, Traffic::MoveStart const&);
     /// Applies when the moves have started, as far as the store says it.
     void adoptMoveStarts(Core::Instant now);
     void adoptResults();
--- a/Tests/comfreysaild/TestEntryMoves.cpp
+++ b/Tests/comfreysaild/TestEntryMoves.cpp
@@ -132,3 +132,46 @@
     CHECK(newVersion.runs == before);
     CHECK(isRolledBack());
 }
+
+// Guards against a rolled-back version that gets requests again after the next order: it was taken for the old version
+// since it had more ready targets. Its targets leave some seconds after the roll-back only.
+TEST_CASE_METHOD(MoveFixture, "Entry_OrderAfterARollBack_RolledBackVersionGetsNothing")
+{
+    auto& oldVersion = addTarget("old", respondComplete);
+    auto const fail = [](RawConnection& connection, std::string const& head) {
+        return connection.send(signedResponse(head, "no", "500 Internal Server Error"));
+    };
+    auto& bad = addTarget("bad1", fail, "v2");
+    auto& alsoBad = addTarget("bad2", fail, "v2");
+    addTarget("newer", respondComplete, "v3");
+    StopAtScopeEnd const stop(*this);
+    startDaemon();
+    orderMove(10);
+    REQUIRE(eventually(
+        [&] {
+            call("POST", "/pay/1", "order");
+            return storeRow("status", "rollout/orders").find("rolled_back") != std::string::npos;
+        },
+        8s));
+    auto const badRuns = [&] { return bad.runs + alsoBad.runs; };
+    auto const before = badRuns();
+    auto const sendRequests = [&] {
+        for (int count = 0; count < 50; ++count)
+            call("POST", "/pay/1", "order");
+    };
+    writeOperatorRow("rollout/orders", R"({"service":"orders","to":"v3","duration-s":60})");
+    std::this_thread::sleep_for(2s);
+    auto const oldRuns = oldVersion.runs.load();
+    sendRequests();
+    CHECK(oldVersion.runs > oldRuns);
+    restartDaemon();
+    sendRequests();
+    SECTION("the order is withdrawn") { removeOperatorRow("rollout/orders"); }
+    SECTION("the operators go back to the old version")
+    {
+        writeOperatorRow("rollout/orders", R"({"service":"orders","to":"v1","duration-s":60})");
+    }
+    std::this_thread::sleep_for(2s);
+    sendRequests();
+    CHECK(badRuns() == before);
+}
