LibHTTP: Keep a connection open until its client has the response

Cause: the last write of a response ends when the system has taken the bytes, and the connection counted as idle from then on. Closing it makes the next request meet a closed socket, whose reset drops what the client has not read. Ruled out: the grace time, which had over 3 s left, and the target, whose response was complete before the signal.

Change: ResponseDelivery follows the bytes that the client's system has not acknowledged (SIOCOUTQ). While their number falls, the connection is not closed by a stop, by the idle timeout or after lingering, and a request that arrives is served. A planned stop waits for these connections until the end of the grace time.

--- a/Libraries/LibHTTP/HTTP.h
+++ b/Libraries/LibHTTP/HTTP.h
@@ -11,6 +11,7 @@
 #include <LibHTTP/Message.h>
 #include <LibHTTP/MessageReader.h>
 #include <LibHTTP/ProcessBudget.h>
+#include <LibHTTP/ResponseDelivery.h>
 #include <LibHTTP/Server.h>
 #include <LibHTTP/ServerExchange.h>
 #include <LibHTTP/ServerOptions.h>
--- a/Libraries/LibHTTP/Server.h
+++ b/Libraries/LibHTTP/Server.h
@@ -36,7 +36,7 @@
     void closeAfterResponses() { m_closesAfterResponses = true; }
 
     /// Closes the connections that have no request in progress and have received no byte of a new one, now and whenever
-    /// that becomes so.
+    /// that becomes so. Those whose clients have not got the whole last response are closed when they have.
     void closeIdleConnections();
 
     /// Accepts the connections that wait in the kernel, and then no more.
@@ -46,6 +46,8 @@
     void giveUpUnreadResponse();
 
     size_t connections() const;
+    /// The number of connections that would be closed, but whose clients have not got the whole last response yet.
+    size_t deliveringConnections() const { return m_deliveringConnections; }
     size_t requestsAhead() const { return m_requestsAhead; }
     size_t headMemoryBytes() const { return m_headMemoryBytes; }
 
@@ -77,6 +79,7 @@
     std::atomic<bool> m_closesIdleConnections { false };
     std::atomic<size_t> m_requestsAhead { 0 };
     std::atomic<size_t> m_headMemoryBytes { 0 };
+    std::atomic<size_t> m_deliveringConnections { 0 };
     mutable std::mutex m_mutex;
     std::unordered_map<uint64_t, std::weak_ptr<Session>> m_sessions; ///< By the session's id.
     std::unordered_map<std::string, size_t> m_connectionsByAddress;
--- a/Libraries/LibHTTP/ServerSession.cpp
+++ b/Libraries/LibHTTP/ServerSession.cpp
@@ -20,6 +20,8 @@
 // How long a closing connection keeps reading: closing it with unread input would send a reset, which can destroy the
 // response before the caller has read it.
 constexpr auto lingerTimeout = std::chrono::seconds(2);
+// Nothing reports that the client's system has acknowledged the last bytes of a response.
+constexpr auto deliveryCheckInterval = std::chrono::milliseconds(100);
 // While further pipelined requests are left unread, nothing reports that the client has closed. Its work at the target
 // has to end within 0.5 s.
 constexpr auto closeCheckInterval = std::chrono::milliseconds(200);
@@ -72,21 +74,50 @@
         // The pending read may already have taken bytes of a request from the socket, which it has not reported
         // yet. Cancelling it has no effect then, and the request is served.
         ErrorCode ignored;
-        if (self->isIdle() && self->m_stream.isOpenWithoutInput())
+        if (!self->isIdle() || !self->m_stream.isOpenWithoutInput())
+            return;
+        auto const now = Core::monotonicNow();
+        bool const isDelivering = self->updateDelivery(now);
+        self->setDelivering(isDelivering);
+        if (isDelivering)
+            self->m_watchdogs.write->arm(
+                now + deliveryCheckInterval, [session = self.get()] { session->closeIfIdle(); });
+        else
             self->m_stream.socket.cancel(ignored);
     });
 }
 
+bool Server::Session::updateDelivery(Core::Instant now)
+{
+    m_delivery = noteUndelivered(m_delivery, m_stream.undeliveredBytes(), now);
+    return isDelivering(m_delivery, m_server->m_options.stallTimeout, now);
+}
+
+void Server::Session::setDelivering(bool isDelivering)
+{
+    if (std::exchange(m_isDelivering, isDelivering) == isDelivering)
+        return;
+    if (isDelivering)
+        ++m_server->m_deliveringConnections;
+    else
+        --m_server->m_deliveringConnections;
+}
+
 void Server::Session::armClose(Core::Duration timeout)
 {
     m_watchdogs.read->arm(Core::monotonicNow() + timeout, [&stream = m_stream] { stream.close(); });
 }
 
-void Server::Session::armCancel(Core::Duration timeout)
+void Server::Session::armIdleTimeout(Core::Duration timeout)
 {
-    m_watchdogs.read->arm(Core::monotonicNow() + timeout, [&stream = m_stream] {
+    m_watchdogs.read->arm(Core::monotonicNow() + timeout, [this] {
         ErrorCode ignored;
-        stream.socket.cancel(ignored);
+        auto const& options = m_server->m_options;
+        // A client may use the connection again until the timeout has passed since it has got the last response.
+        if (updateDelivery(Core::monotonicNow()))
+            armIdleTimeout(std::min(options.stallTimeout, options.idleTimeout));
+        else
+            m_stream.socket.cancel(ignored);
     });
 }
 
@@ -171,7 +202,7 @@
     if (m_stream.received.isEmpty()) {
         m_isReceiving = true;
         if (isIdle()) {
-            armCancel(options.idleTimeout);
+            armIdleTimeout(options.idleTimeout);
             m_stream.received.shrinkIfEmpty();
             setWait(ClientWait::Idle);
         }
@@ -267,7 +298,7 @@
         m_requestsInProgress.front()->exchange->noteEarlierResponsesSent();
     }
     if (isIdle())
-        armCancel(m_server->m_options.idleTimeout);
+        armIdleTimeout(m_server->m_options.idleTimeout);
     noteReadingWait();
     // The response may have started before the server began to close connections.
     if (m_server->m_closesIdleConnections)
@@ -328,11 +359,22 @@
     co_await lingerAndClose();
 }
 
+void Server::Session::lingerUntil(Core::Instant until)
+{
+    auto const now = Core::monotonicNow();
+    bool const isDelivering = updateDelivery(now);
+    setDelivering(isDelivering);
+    if (isDelivering || now < until)
+        m_watchdogs.read->arm(now + deliveryCheckInterval, [this, until] { lingerUntil(until); });
+    else
+        m_stream.close();
+}
+
 awaitable<void> Server::Session::lingerAndClose()
 {
     ErrorCode ignored;
     m_stream.socket.shutdown(tcp::socket::shutdown_send, ignored);
-    armClose(lingerTimeout);
+    lingerUntil(Core::monotonicNow() + lingerTimeout);
     setWait(ClientWait::Close);
     std::array<char, 4096> buffer {};
     while (true) {
--- a/Libraries/LibHTTP/ServerSession.h
+++ b/Libraries/LibHTTP/ServerSession.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibHTTP/ResponseDelivery.h>
 #include <LibHTTP/Server.h>
 #include <array>
 #include <boost/asio/steady_timer.hpp>
@@ -23,7 +24,11 @@
     {
     }
 
-    ~Session() { m_server->removeSession(*this); }
+    ~Session()
+    {
+        setDelivering(false);
+        m_server->removeSession(*this);
+    }
     Session(Session const&) = delete;
     Session& operator=(Session const&) = delete;
 
@@ -35,14 +40,23 @@
     /// Closes the connection if it still waits for its client as stated.
     void giveUp(ClientWait);
 
-    /// Closes the connection if it has no request in progress and has received no byte of a next one.
+    /// Closes the connection if it has no request in progress and has received no byte of a next one. Waits until its
+    /// client has the last response; a request that arrives meanwhile is served.
     void closeIfIdle();
 
 private:
     void armClose(Core::Duration timeout);
 
-    /// Ends the wait for a next request. Unlike a close, it does not lose a request that has just been received.
-    void armCancel(Core::Duration timeout);
+    /// Ends the wait for a next request after the timeout, or later if the last response is still being delivered.
+    /// Unlike a close, it does not lose a request that has just been received.
+    void armIdleTimeout(Core::Duration timeout);
+
+    /// Returns true while the client has not got all of the responses that were written, and reads on.
+    bool updateDelivery(Core::Instant now);
+    /// Whether this session counts among those of Server::deliveringConnections().
+    void setDelivering(bool);
+    /// Closes the lingering connection at `until`, or later if the last response is still being delivered.
+    void lingerUntil(Core::Instant until);
 
     struct Request {
         Request(Server& server, Stream& stream)
@@ -124,8 +138,10 @@
     ClientWait m_wait { ClientWait::Nothing };
     bool m_isReceiving { false };
     bool m_isReadingHead { false };
+    ResponseDelivery m_delivery;
+    bool m_isDelivering { false };
     bool m_isEnding { false };           ///< No further request is read.
-    bool m_lingersBeforeClose { false }; ///< Reads on for lingerTimeout before closing.
+    bool m_lingersBeforeClose { false }; ///< Reads on for a while before closing.
 };
 
 }
--- a/Libraries/LibHTTP/Stream.cpp
+++ b/Libraries/LibHTTP/Stream.cpp
@@ -1,7 +1,9 @@
 #include <LibHTTP/Stream.h>
 
 #include <algorithm>
+#include <linux/sockios.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace Comfreysail::HTTP {
@@ -70,6 +72,13 @@
     return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+size_t Stream::undeliveredBytes()
+{
+    int count = 0;
+    bool const isKnown = socket.is_open() && ::ioctl(socket.native_handle(), SIOCOUTQ, &count) == 0;
+    return isKnown && count > 0 ? static_cast<size_t>(count) : 0;
+}
+
 bool Stream::isClosedByPeer()
 {
     if (!socket.is_open())
--- a/Libraries/LibHTTP/Stream.h
+++ b/Libraries/LibHTTP/Stream.h
@@ -49,6 +49,9 @@
     /// True if the other side has neither closed the connection nor sent any bytes. For idle connections only.
     bool isOpenWithoutInput();
 
+    /// The number of sent bytes that the other side's system has not acknowledged. 0 if that is unknown.
+    size_t undeliveredBytes();
+
     /// True if the other side has closed the connection or its sending side, even if received bytes are still unread.
     bool isClosedByPeer();
 };
--- a/Services/comfreysaild/Daemon.cpp
+++ b/Services/comfreysaild/Daemon.cpp
@@ -226,7 +226,11 @@
     m_callerServer->closeIdleConnections();
     m_peerServer->closeIdleConnections();
     co_await sleepFor(lastRequestsGrace);
-    while (m_services.activeRequests > 0)
+    auto const isServing = [this] {
+        return m_services.activeRequests > 0 || m_callerServer->deliveringConnections() > 0
+            || m_peerServer->deliveringConnections() > 0;
+    };
+    while (isServing())
         co_await sleepFor(shutdownPollInterval);
     // Wait for the store writes that record the results of the last requests with a claim.
     auto const claimsUntil = Core::monotonicNow() + claimFlushTimeout;
--- a/Services/comfreysaild/EntryDaemon.cpp
+++ b/Services/comfreysaild/EntryDaemon.cpp
@@ -336,7 +336,10 @@
     co_await pause(m_settings.balancerLag);
     m_callerServer->stopAccepting();
     m_callerServer->closeIdleConnections();
-    auto const shouldWait = [this, until] { return m_state.activeRequests > 0 && Core::monotonicNow() < until; };
+    auto const shouldWait = [this, until] {
+        bool const isServing = m_state.activeRequests > 0 || m_callerServer->deliveringConnections() > 0;
+        return isServing && Core::monotonicNow() < until;
+    };
     while (shouldWait())
         co_await pause(shutdownPollInterval);
     co_await pause(lastRequestsGrace);
@@ -355,7 +358,10 @@
     if (m_usageReporter)
         co_await m_usageReporter->pushBeforeExit(std::clamp(
             (until - Core::monotonicNow()) / lastCountsAttempts, minLastCountsTimeout, maxLastCountsTimeout));
-    Telemetry::EventLine("shutdown_finished").add("active_requests", m_state.activeRequests).logInfo();
+    Telemetry::EventLine("shutdown_finished")
+        .add("active_requests", m_state.activeRequests)
+        .add("undelivered_responses", m_callerServer->deliveringConnections())
+        .logInfo();
     m_context.stop();
 }
 
--- a/Tests/LibHTTP/TestServer.cpp
+++ b/Tests/LibHTTP/TestServer.cpp
@@ -64,7 +64,8 @@
     EchoServer& operator=(EchoServer const&) = delete;
 
     Server& server() { return *m_server; }
-    RawConnection connect() const { return RawConnection::connectTo(m_server->port()); }
+    uint16_t port() const { return m_server->port(); }
+    RawConnection connect() const { return RawConnection::connectTo(port()); }
 
 private:
     asio::io_context m_context;
@@ -394,6 +395,84 @@
 
 namespace {
 
+/// Responds with a body that the system takes at once, but that the client of SlowReader reads for seconds.
+awaitable<void> respondLargely(ServerExchange& exchange)
+{
+    ResponseHead head;
+    co_await exchange.respond(std::move(head), std::string(500'000, 'x'));
+}
+
+/// A client that reads a response of respondLargely() in two halves with a pause between them.
+class SlowReader {
+public:
+    explicit SlowReader(ServerOptions const& options)
+        : m_server(options, respondLargely)
+        , m_connection(RawConnection::connectTo(m_server.port(), 16 * 1024))
+    {
+    }
+
+    /// Returns the size of the body that arrives if `sent` is sent at the end of the pause.
+    size_t read(std::string const& request, std::chrono::milliseconds pause, std::string const& sent)
+    {
+        m_connection.send(request);
+        m_connection.readUntil("\r\n\r\n");
+        auto const half = m_connection.readExactly(250'000).size();
+        std::this_thread::sleep_for(pause);
+        m_connection.send(sent);
+        // The reset would arrive meanwhile.
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        return half + m_connection.readExactly(250'000).size();
+    }
+    RawConnection& connection() { return m_connection; }
+
+private:
+    EchoServer m_server;
+    RawConnection m_connection;
+};
+
+}
+
+// Guards against the idle timeout closing a connection whose client is still reading the last response, and sends its
+// next request then.
+TEST_CASE("Server_IdleTimeoutWhileTheClientReads_NextRequestIsServed", "[Server]")
+{
+    ServerOptions options;
+    options.idleTimeout = std::chrono::milliseconds(200);
+    SlowReader reader(options);
+    CHECK(reader.read(plainRequest, std::chrono::milliseconds(700), plainRequest) == 500'000);
+    CHECK(reader.connection().readResponse().body.size() == 500'000);
+    CHECK(reader.connection().waitForEnd(std::chrono::seconds(3)));
+}
+
+// Guards against a closing connection that is no longer read after the linger timeout, although its client is still
+// reading the response.
+TEST_CASE("Server_ClosingResponseThatIsReadLongerThanTheLingerTimeout_IsWhole", "[Server]")
+{
+    SlowReader reader({});
+    CHECK(reader.read(
+              "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n", std::chrono::milliseconds(2500), plainRequest)
+        == 500'000);
+    CHECK(reader.connection().waitForEnd(std::chrono::seconds(3)));
+}
+
+// Guards against a client that has vanished and holds a connection, or a planned stop, for good.
+TEST_CASE("ResponseDelivery_NoProgress_EndsAfterTheStallTimeout", "[Server]")
+{
+    auto const at = [](int seconds) { return Core::Instant { std::chrono::seconds(1000 + seconds) }; };
+    constexpr auto stall = std::chrono::seconds(5);
+    CHECK_FALSE(isDelivering({}, stall, at(0)));
+    auto const started = noteUndelivered({}, 900, at(0));
+    CHECK(isDelivering(noteUndelivered(started, 900, at(4)), stall, at(4)));
+    CHECK_FALSE(isDelivering(noteUndelivered(started, 900, at(5)), stall, at(5)));
+    auto const progressed = noteUndelivered(started, 100, at(4));
+    CHECK(isDelivering(progressed, stall, at(8)));
+    auto const delivered = noteUndelivered(progressed, 0, at(8));
+    CHECK(isDelivering(delivered, stall, at(8)));
+    CHECK_FALSE(isDelivering(delivered, stall, at(9)));
+}
+
+namespace {
+
 /// Connects from another address of the loopback interface.
 RawConnection connectFrom(char const* source, uint16_t port)
 {
--- a/Tests/Support/RawConnection.cpp
+++ b/Tests/Support/RawConnection.cpp
@@ -53,9 +53,11 @@
 {
 }
 
-RawConnection RawConnection::connectTo(uint16_t port)
+RawConnection RawConnection::connectTo(uint16_t port, int receiveBufferBytes)
 {
     RawConnection connection(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+    if (receiveBufferBytes > 0)
+        ::setsockopt(connection.m_descriptor, SOL_SOCKET, SO_RCVBUF, &receiveBufferBytes, sizeof(receiveBufferBytes));
     auto const address = loopback(port);
     if (::connect(connection.m_descriptor, reinterpret_cast<sockaddr const*>(&address), sizeof(address)) != 0)
         throw std::runtime_error("cannot connect to port " + std::to_string(port));
--- a/Tests/Support/RawConnection.h
+++ b/Tests/Support/RawConnection.h
@@ -23,7 +23,8 @@
 class RawConnection {
 public:
     explicit RawConnection(int descriptor);
-    static RawConnection connectTo(uint16_t port);
+    /// `receiveBufferBytes` is SO_RCVBUF; 0 for the default of the system.
+    static RawConnection connectTo(uint16_t port, int receiveBufferBytes = 0);
     ~RawConnection();
     RawConnection(RawConnection&&) noexcept;
     RawConnection& operator=(RawConnection&&) = delete;
--- a/Tests/comfreysaild/TestEntryStops.cpp
+++ b/Tests/comfreysaild/TestEntryStops.cpp
@@ -250,3 +250,40 @@
     CHECK(response.status() == 502);
     CHECK(daemon.waitForExit(700ms) == 0);
 }
+
+// Guards against a planned stop that resets a download which its client still reads: the daemon had written all of it,
+// took the connection for idle and closed it, and the client's next request met a closed socket.
+TEST_CASE_METHOD(EntryFixture, "Entry_SigtermWhileAClientReadsADownload_TheClientGetsAllOfIt")
+{
+    std::string const body(500'000, 'x');
+    addTarget("t1", [&](RawConnection& connection, std::string const& head) {
+        return connection.send(signedResponse(head, body));
+    });
+    StopAtScopeEnd const stop(*this);
+    auto& daemon = startDaemon({ .balancerLagMilliseconds = 200 });
+    auto caller = RawConnection::connectTo(daemon.callerPort(), 16 * 1024);
+    REQUIRE(caller.send(requestText("GET", "/files/1", "d1", {}, 10'000)));
+    auto const head = caller.readUntil("\r\n\r\n");
+    CHECK(head.find("Connection: close") == std::string::npos);
+    size_t received = caller.readExactly(50'000).size();
+    daemon.terminate();
+    bool const sendsNext = GENERATE(true, false);
+    CAPTURE(sendsNext);
+    while (received < body.size()) {
+        std::this_thread::sleep_for(200ms);
+        auto const part = caller.readExactly(std::min<size_t>(50'000, body.size() - received)).size();
+        if (part == 0)
+            break;
+        received += part;
+        if (sendsNext && received == 250'000)
+            CHECK(caller.send(requestText("GET", "/files/2", "d2", {}, 10'000)));
+    }
+    CHECK(received == body.size());
+    if (sendsNext) {
+        auto const next = caller.readResponse();
+        CHECK(next.field("Connection") == "close");
+        CHECK(next.body == body);
+    }
+    CHECK(caller.waitForEnd(2s));
+    CHECK(daemon.waitForExit() == 0);
+}
