comfreysaild: Count crashes of targets that have begun to respond

Cause: only a connection that is lost before a response head led to a check of the target. Besides, the start of a response that is passed on while it arrives cleared its request of earlier crashes. Ruled out: the confirmation itself (with the crash before the response there were four crashes) and the reports to other daemons.

Change: checkForCrash() also looks at connections that are lost within a response, buffered or passed on. A response that is passed on counts as an answer when it is complete, and against its version when it is cut off.

--- a/Services/comfreysaild/EntryHandler.cpp
+++ b/Services/comfreysaild/EntryHandler.cpp
@@ -59,6 +59,8 @@
 {
     m_state.retries.noteFirstSend(request.service);
     Error lastError { ErrorKind::NoTargetAvailable, {} };
+    RegisteredTarget target;
+    auto verdict = ResponseVerdict::NotRun;
     while (true) {
         auto const selected = co_await m_selector.select(request);
         if (isError(selected)) {
@@ -71,12 +73,12 @@
             co_await m_sender.refuse(request, lastError);
             co_return;
         }
-        auto const target = valueOf(selected);
+        target = valueOf(selected);
         dropResponse(request);
         auto const move = m_state.moves.find(target.service);
         if (move != m_state.moves.end() && move->second.move.toVersion == target.version)
             ++move->second.sentToNewVersion;
-        auto const verdict = co_await m_exchange.sendOnce(request, target);
+        verdict = co_await m_exchange.sendOnce(request, target);
         noteSend(request, target);
         Telemetry::EventLine("send_ended")
             .add("request_id", request.requestId)
@@ -86,16 +88,11 @@
             .add("took_ms",
                 request.sentAt == Instant {} ? 0 : Core::toMilliseconds(Core::monotonicNow() - request.sentAt))
             .add("connection_lost", request.wasConnectionLost)
+            .add("response_cut_off", request.wasResponseCutOff)
             .logInfo();
-        if (request.wasConnectionLost && !request.stopSignal.reason()) {
-            auto const& healthPath = request.plan->services.find(request.service)->second.healthPath;
-            if (!request.wasAnsweredAfterLoss)
-                request.wasAnsweredAfterLoss = std::make_shared<bool>(false);
-            HTTP::asio::co_spawn(request.exchange.strand(),
-                confirmCrash(request.fingerprint, target, healthPath, request.wasAnsweredAfterLoss),
-                HTTP::asio::detached);
-        }
-        if (verdict == ResponseVerdict::Deliver)
+        checkForCrash(request, target);
+        // The rest of a streamed response may still be cut off.
+        if (verdict == ResponseVerdict::Deliver && !request.streamingConnection)
             noteAnswered(request);
         noteEvidence(request, target, verdict);
         noteFault(request, target, verdict);
@@ -120,7 +117,46 @@
             co_return;
         }
     }
-    co_await m_sender.deliver(request);
+    co_await deliver(request, target, verdict);
+}
+
+awaitable<void> EntryHandler::deliver(EntryRequest& request, RegisteredTarget target, ResponseVerdict verdict)
+{
+    bool const isStreamed = request.streamingConnection != nullptr;
+    bool const isWhole = co_await m_sender.deliver(request);
+    if (!isStreamed)
+        co_return;
+    checkForCrash(request, target);
+    if (verdict != ResponseVerdict::Deliver)
+        co_return;
+    if (isWhole)
+        noteAnswered(request);
+    else if (request.wasResponseCutOff)
+        noteCutOffEvidence(target);
+}
+
+void EntryHandler::noteCutOffEvidence(RegisteredTarget const& target)
+{
+    auto const found = m_state.moves.find(target.service);
+    if (found == m_state.moves.end())
+        return;
+    auto& progress = found->second;
+    auto& evidence = progress.evidence;
+    auto& side = target.version == progress.move.toVersion ? evidence.newVersion : evidence.oldVersion;
+    ++side.failures;
+    m_state.evidence.note(progress.move.orderedAt, m_state.evidenceOrigin, evidence);
+}
+
+void EntryHandler::checkForCrash(EntryRequest& request, RegisteredTarget const& target)
+{
+    bool const wasLostBeforeResponse = request.wasConnectionLost && !request.stopSignal.reason();
+    if (!wasLostBeforeResponse && !request.wasResponseCutOff)
+        return;
+    auto const& healthPath = request.plan->services.find(request.service)->second.healthPath;
+    if (!request.wasAnsweredAfterLoss)
+        request.wasAnsweredAfterLoss = std::make_shared<bool>(false);
+    HTTP::asio::co_spawn(request.exchange.strand(),
+        confirmCrash(request.fingerprint, target, healthPath, request.wasAnsweredAfterLoss), HTTP::asio::detached);
 }
 
 void EntryHandler::dropResponse(EntryRequest& request)
--- a/Services/comfreysaild/EntryHandler.h
+++ b/Services/comfreysaild/EntryHandler.h
@@ -21,6 +21,8 @@
 
 private:
     HTTP::awaitable<void> forward(EntryRequest&);
+    /// Sends the last response, which came from this target, to the caller.
+    HTTP::awaitable<void> deliver(EntryRequest&, Traffic::RegisteredTarget, Traffic::ResponseVerdict);
     /// Drops the last response, of which a part may still have to be read.
     void dropResponse(EntryRequest&);
     bool mayRetry(EntryRequest&, Traffic::ResponseVerdict, Core::Instant now);
@@ -28,6 +30,10 @@
     void noteEvidence(EntryRequest const&, Traffic::RegisteredTarget const&, Traffic::ResponseVerdict);
     void noteFault(EntryRequest const&, Traffic::RegisteredTarget const&, Traffic::ResponseVerdict);
     void noteAnswered(EntryRequest&);
+    /// Counts a response that its target cut off while it was passed on against the version of the target.
+    void noteCutOffEvidence(Traffic::RegisteredTarget const&);
+    /// Finds out whether the last send crashed its target, if its connection was lost.
+    void checkForCrash(EntryRequest&, Traffic::RegisteredTarget const&);
     /// Probes a target whose connection was lost during a request, and reports a crash if the target does not respond
     /// and the request was not answered by another target meanwhile.
     HTTP::awaitable<void> confirmCrash(uint64_t fingerprint, Traffic::RegisteredTarget, std::string healthPath,
--- a/Services/comfreysaild/ResponseSender.cpp
+++ b/Services/comfreysaild/ResponseSender.cpp
@@ -51,7 +51,7 @@
 
 double ResponseSender::uniform() { return std::uniform_real_distribution<double>(0, 1)(m_generator); }
 
-awaitable<void> ResponseSender::deliver(EntryRequest& request)
+awaitable<bool> ResponseSender::deliver(EntryRequest& request)
 {
     auto& exchange = request.exchange;
     // Once there is a response, it is delivered even past the deadline.
@@ -88,12 +88,13 @@
             isSent = co_await exchange.sendBody(request.responseBody);
         if (isSent)
             co_await exchange.finish();
-        co_return;
+        co_return true;
     }
-    co_await stream(request, std::move(head));
+    bool const isWhole = co_await stream(request, std::move(head));
+    co_return isWhole;
 }
 
-awaitable<void> ResponseSender::stream(EntryRequest& request, HTTP::ResponseHead head)
+awaitable<bool> ResponseSender::stream(EntryRequest& request, HTTP::ResponseHead head)
 {
     auto& exchange = request.exchange;
     auto const connection = request.streamingConnection;
@@ -113,12 +114,19 @@
     std::string(readBufferSize, '\0').swap(request.responseBody);
     request.responseMemory.release();
     auto& buffer = request.responseBody;
+    bool hasStalled = false;
     while (isSent && !isComplete && !request.stopSignal.reason()) {
-        stallWatchdog->arm(Core::monotonicNow() + streamStallTimeout, [&connection] { connection->close(); });
+        stallWatchdog->arm(Core::monotonicNow() + streamStallTimeout, [&] {
+            hasStalled = true;
+            connection->close();
+        });
         auto const size = co_await connection->readBody(buffer);
         stallWatchdog->disarm();
-        if (isError(size))
+        if (isError(size)) {
+            request.wasResponseCutOff
+                = errorOf(size).kind == ErrorKind::ConnectionLost && !hasStalled && !request.stopSignal.reason();
             break;
+        }
         isComplete = valueOf(size) == 0;
         if (!isComplete) {
             std::string_view const piece(buffer.data(), valueOf(size));
@@ -130,7 +138,7 @@
     if (isComplete) {
         m_pool.release(connection, Core::monotonicNow());
         co_await exchange.finish();
-        co_return;
+        co_return true;
     }
     auto const reason = request.stopSignal.reason();
     if (isSent && reason != ErrorKind::CallerGone)
@@ -142,6 +150,7 @@
         .logInfo();
     m_pool.discard(connection, false);
     exchange.abort();
+    co_return false;
 }
 
 awaitable<void> ResponseSender::refuse(EntryRequest& request, Error const& error)
--- a/Services/comfreysaild/ResponseSender.h
+++ b/Services/comfreysaild/ResponseSender.h
@@ -12,12 +12,13 @@
     ResponseSender(HTTP::ConnectionPool&, EntryState&);
 
     /// Delivers the target's response that the request holds.
-    HTTP::awaitable<void> deliver(EntryRequest&);
+    /// Returns true if the response is whole, and false if it broke off while it was passed on.
+    HTTP::awaitable<bool> deliver(EntryRequest&);
     HTTP::awaitable<void> refuse(EntryRequest&, Core::Error const&);
 
 private:
     /// Passes on a response body that is too large to buffer.
-    HTTP::awaitable<void> stream(EntryRequest&, HTTP::ResponseHead);
+    HTTP::awaitable<bool> stream(EntryRequest&, HTTP::ResponseHead);
     Core::Duration retryAdvice(EntryRequest const&, Core::Instant now);
     double uniform();
 
--- a/Services/comfreysaild/TargetExchange.cpp
+++ b/Services/comfreysaild/TargetExchange.cpp
@@ -104,6 +104,7 @@
     HTTP::Endpoint const endpoint { target.address, target.port };
     ++request.sends;
     request.wasConnectionLost = false;
+    request.wasResponseCutOff = false;
     request.wasConnectRefusedHere = false;
     request.sentAt = {};
     request.lastTarget = target.id;
@@ -224,8 +225,10 @@
         body.resize(offset + readBufferSize);
         auto const size = co_await connection.readBody(std::span(body).subspan(offset));
         body.resize(offset + (isError(size) ? 0 : valueOf(size)));
-        if (isError(size))
+        if (isError(size)) {
+            request.wasResponseCutOff = errorOf(size).kind == ErrorKind::ConnectionLost && !request.stopSignal.reason();
             co_return false;
+        }
         if (valueOf(size) == 0)
             co_return true;
         // Without memory for more, the response is passed on as it arrives, and can no longer be retried if it breaks
--- a/Tests/comfreysaild/TestEntryCrashingRequests.cpp
+++ b/Tests/comfreysaild/TestEntryCrashingRequests.cpp
@@ -90,8 +90,14 @@
     bool respond(size_t index, std::chrono::milliseconds workTime, RawConnection& connection, std::string const& head)
     {
         auto& target = *m_crashableTargets[index];
-        if (head.starts_with("GET /read/poison "))
+        if (head.starts_with("GET /read/poison ") || head.starts_with("GET /read/poison-while-responding "))
             target.isDown = true;
+        if (head.starts_with("GET /read/poison-while-responding ")) {
+            // The system may drop what a reset overtakes, so the daemon gets some time to read it.
+            connection.send(
+                signedResponse(head, std::string(m_poisonBodyBytes, 'x')).substr(0, m_poisonBodyBytes - 1000));
+            std::this_thread::sleep_for(50ms);
+        }
         ++m_working[index];
         auto const end = std::chrono::steady_clock::now() + workTime;
         while (!target.isDown && std::chrono::steady_clock::now() < end)
@@ -104,6 +110,10 @@
         return connection.send(signedResponse(head, "whole"));
     }
 
+protected:
+    size_t m_poisonBodyBytes { 2000 }; ///< Of the response to /read/poison-while-responding.
+
+private:
     std::vector<EntryTarget*> m_crashableTargets;
     std::array<std::atomic<unsigned>, 8> m_working {}; ///< Requests that run at each target.
     std::set<size_t> m_crashed;
@@ -261,3 +271,24 @@
     }
     CHECK(call("GET", lookup).status() == 200);
 }
+
+// Guards against a request that crashes every target which runs it, because the crashes come after the target has begun
+// to respond: only a connection that was lost before a response counted. A response of 2 MB is passed on before it is
+// complete, and what was passed on must not count as an answer.
+TEST_CASE_METHOD(CrashFixture, "Entry_RequestThatCrashesTargetsWhileTheyRespond_IsRefused")
+{
+    StopAtScopeEnd const stop(*this);
+    m_poisonBodyBytes = GENERATE(2'000, 2'000'000);
+    CAPTURE(m_poisonBodyBytes);
+    addTargets(6, 0ms);
+    startNamed("entry-1");
+    std::string const path = "/read/poison-while-responding";
+    // The third crash may be found during the second send of a request.
+    CHECK(crashTargetsUntilRefused(path) <= 4);
+    CHECK(eventually([&] { return storeKeys(crashTable).size() >= 3; }));
+    restartTargets();
+    auto const before = runs();
+    CHECK(call("GET", path).field("Comfreysail-Error") == "request_quarantined");
+    CHECK(runs() == before);
+    CHECK(call("GET", lookup).status() == 200);
+}
