comfreysaild: Take only a refused connection for a crash

Cause: after a lost connection, a target that did not respond to a health probe within 250 ms counted as crashed. A full target that does not report load resets the connection of the probe like that of a request. Ruled out: real crashes (the case has none) and the retention alone (the reports were false).

Change: LoadProber::hasEnded() tries to connect, and only a refused connection confirms a crash, since then no process listens. crash_check logs each decision.

Test: Entry_FullTargetsResetALookupAndTheProbes_LookupIsServedAfterwards failed on (refused for good, with crash rows) and passes now.

--- a/Libraries/LibHTTP/ClientConnection.cpp
+++ b/Libraries/LibHTTP/ClientConnection.cpp
@@ -58,6 +58,7 @@
     tcp::endpoint const endpoint(address, m_endpoint.port);
     auto const [connectError] = co_await m_stream.socket.async_connect(endpoint, useTuple);
     m_hasFailedLocally = isLocalError(connectError);
+    m_wasRefused = connectError == asio::error::connection_refused;
     if (connectError || m_isClosed)
         co_return Error { ErrorKind::ConnectFailed, connectError.message() };
     m_stream.socket.set_option(tcp::no_delay(true), error);
--- a/Libraries/LibHTTP/ClientConnection.h
+++ b/Libraries/LibHTTP/ClientConnection.h
@@ -77,6 +77,8 @@
     /// True if connect() failed because this process or VM lacked descriptors, ports or memory. It says nothing about
     /// the peer.
     bool hasFailedLocally() const { return m_hasFailedLocally; }
+    /// True if connect() failed because nothing listens at the endpoint.
+    bool wasRefused() const { return m_wasRefused; }
 
     Core::Instant openedAt() const { return m_openedAt; }
     std::optional<Core::Instant> lastResponseAt() const { return m_lastResponseAt; }
@@ -95,6 +97,7 @@
     Stream m_stream;
     std::unique_ptr<ResponseReader> m_reader;
     bool m_hasFailedLocally { false };
+    bool m_wasRefused { false };
     Core::Instant m_openedAt {};
     std::optional<Core::Instant> m_lastResponseAt;
     std::optional<Core::Duration> m_announcedIdleTimeout;
--- a/Services/comfreysaild/EntryHandler.cpp
+++ b/Services/comfreysaild/EntryHandler.cpp
@@ -152,11 +152,10 @@
     bool const wasLostBeforeResponse = request.wasConnectionLost && !request.stopSignal.reason();
     if (!wasLostBeforeResponse && !request.wasResponseCutOff)
         return;
-    auto const& healthPath = request.plan->services.find(request.service)->second.healthPath;
     if (!request.wasAnsweredAfterLoss)
         request.wasAnsweredAfterLoss = std::make_shared<bool>(false);
     HTTP::asio::co_spawn(request.exchange.strand(),
-        confirmCrash(request.fingerprint, target, healthPath, request.wasAnsweredAfterLoss), HTTP::asio::detached);
+        confirmCrash(request.fingerprint, target, request.wasAnsweredAfterLoss), HTTP::asio::detached);
 }
 
 void EntryHandler::dropResponse(EntryRequest& request)
@@ -192,14 +191,20 @@
 }
 
 awaitable<void> EntryHandler::confirmCrash(
-    uint64_t fingerprint, RegisteredTarget target, std::string healthPath, std::shared_ptr<bool const> wasAnswered)
+    uint64_t fingerprint, RegisteredTarget target, std::shared_ptr<bool const> wasAnswered)
 {
     auto const crashedAt = Core::monotonicNow();
     auto const executor = co_await HTTP::asio::this_coro::executor;
     HTTP::asio::steady_timer timer(executor, crashProbeDelay);
     co_await timer.async_wait(HTTP::useTuple);
-    auto const isAlive = co_await m_prober.isResponding(target, std::move(healthPath));
-    if (isAlive || *wasAnswered)
+    bool const hasEnded = co_await m_prober.hasEnded(target);
+    Telemetry::EventLine("crash_check")
+        .add("target", target.id)
+        .add("fingerprint", Core::toHex(fingerprint))
+        .add("has_ended", hasEnded)
+        .add("answered_elsewhere", *wasAnswered)
+        .logInfo();
+    if (!hasEnded || *wasAnswered)
         co_return;
     auto const instance = target.id + "@" + std::to_string(target.startedAt);
     Telemetry::EventLine("target_crashed_with_request")
--- a/Services/comfreysaild/EntryHandler.h
+++ b/Services/comfreysaild/EntryHandler.h
@@ -34,10 +34,10 @@
     void noteCutOffEvidence(Traffic::RegisteredTarget const&);
     /// Finds out whether the last send crashed its target, if its connection was lost.
     void checkForCrash(EntryRequest&, Traffic::RegisteredTarget const&);
-    /// Probes a target whose connection was lost during a request, and reports a crash if the target does not respond
-    /// and the request was not answered by another target meanwhile.
-    HTTP::awaitable<void> confirmCrash(uint64_t fingerprint, Traffic::RegisteredTarget, std::string healthPath,
-        std::shared_ptr<bool const> wasAnswered);
+    /// Reports a crash if the process of a target whose connection was lost during a request has ended, and the request
+    /// was not answered by another target meanwhile.
+    HTTP::awaitable<void> confirmCrash(
+        uint64_t fingerprint, Traffic::RegisteredTarget, std::shared_ptr<bool const> wasAnswered);
 
     HTTP::ConnectionPool& m_pool;
     LoadProber& m_prober;
--- a/Services/comfreysaild/LoadProber.cpp
+++ b/Services/comfreysaild/LoadProber.cpp
@@ -175,17 +175,20 @@
     return record && record->failureStreak > 0;
 }
 
-awaitable<bool> LoadProber::isResponding(Traffic::RegisteredTarget target, std::string healthPath)
+awaitable<bool> LoadProber::hasEnded(Traffic::RegisteredTarget target)
 {
-    HTTP::Endpoint const endpoint { target.address, target.port };
     // A target must not be taken for crashed because this process has no room for a connection.
     if (!m_pool.makeRoom(HTTP::ConnectionUse::Probe))
-        co_return true;
-    auto connection = m_pool.create(endpoint);
-    auto const outcome = co_await exchange(connection, target, healthPath);
+        co_return false;
+    auto const connection = m_pool.create({ target.address, target.port });
+    auto const watchdog = HTTP::Watchdog::create(co_await asio::this_coro::executor);
+    watchdog->arm(Core::monotonicNow() + probeTimeout, [&connection] { connection->close(); });
+    co_await connection->connect();
+    watchdog->disarm();
     if (connection->openedAt() != Instant {})
         countTargetConnection(m_state, "check");
-    co_return outcome != Outcome::Failed || connection->hasFailedLocally();
+    m_pool.discard(connection, false);
+    co_return connection->wasRefused();
 }
 
 bool LoadProber::hasOtherTarget(Traffic::RegisteredTarget const& target) const
--- a/Services/comfreysaild/LoadProber.h
+++ b/Services/comfreysaild/LoadProber.h
@@ -41,8 +41,9 @@
     /// Waits until all probes of the session have ended, the session is satisfied, or `deadline` has passed.
     HTTP::awaitable<void> waitForPending(Session&, Core::Instant deadline);
 
-    /// Probes the target on a new connection. True if it responds in time.
-    HTTP::awaitable<bool> isResponding(Traffic::RegisteredTarget, std::string healthPath);
+    /// Tries to connect to the target. True if nothing listens at its address, so that its process has ended. A target
+    /// that is full accepts the connection and may reset it then, or leaves it waiting.
+    HTTP::awaitable<bool> hasEnded(Traffic::RegisteredTarget);
 
 private:
     enum class Outcome : uint8_t {
--- a/Tests/Support/RawConnection.cpp
+++ b/Tests/Support/RawConnection.cpp
@@ -193,16 +193,21 @@
     close();
 }
 
-Listener listenOnFreePort()
+Listener listenOnFreePort() { return listenOn(0); }
+
+Listener listenOn(uint16_t port)
 {
     Listener listener;
     listener.descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    auto address = loopback(0);
+    // For a target that listens again while its earlier connections still occupy the port.
+    int const reuse = 1;
+    ::setsockopt(listener.descriptor, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof(reuse));
+    auto address = loopback(port);
     socklen_t size = sizeof(address);
     if (::bind(listener.descriptor, reinterpret_cast<sockaddr const*>(&address), size) != 0
         || ::listen(listener.descriptor, SOMAXCONN) != 0
         || ::getsockname(listener.descriptor, reinterpret_cast<sockaddr*>(&address), &size) != 0)
-        throw std::runtime_error("cannot listen on a free port");
+        throw std::runtime_error("cannot listen on port " + std::to_string(port));
     listener.port = ntohs(address.sin_port);
     return listener;
 }
--- a/Tests/Support/RawConnection.h
+++ b/Tests/Support/RawConnection.h
@@ -73,5 +73,7 @@
 };
 
 Listener listenOnFreePort();
+/// Listens on this port of 127.0.0.1; 0 lets the system choose one.
+Listener listenOn(uint16_t port);
 
 }
--- a/Tests/Support/ScriptedTarget.cpp
+++ b/Tests/Support/ScriptedTarget.cpp
@@ -2,6 +2,7 @@
 
 #include <sys/socket.h>
 #include <unistd.h>
+#include <utility>
 
 namespace Comfreysail::Tests {
 
@@ -12,11 +13,25 @@
 {
 }
 
-ScriptedTarget::~ScriptedTarget()
+ScriptedTarget::~ScriptedTarget() { stopListening(); }
+
+void ScriptedTarget::stopListening()
 {
+    std::lock_guard const lock(m_listenerMutex);
+    if (m_listener.descriptor < 0)
+        return;
     ::shutdown(m_listener.descriptor, SHUT_RDWR);
     m_acceptThread.join();
-    ::close(m_listener.descriptor);
+    ::close(std::exchange(m_listener.descriptor, -1));
+}
+
+void ScriptedTarget::listenAgain()
+{
+    std::lock_guard const lock(m_listenerMutex);
+    if (m_listener.descriptor >= 0)
+        return;
+    m_listener = listenOn(m_listener.port);
+    m_acceptThread = std::jthread([this] { acceptLoop(); });
 }
 
 void ScriptedTarget::acceptLoop()
--- a/Tests/Support/ScriptedTarget.h
+++ b/Tests/Support/ScriptedTarget.h
@@ -21,6 +21,11 @@
     ScriptedTarget& operator=(ScriptedTarget const&) = delete;
 
     uint16_t port() const { return m_listener.port; }
+    /// Refuses new connections from now on, as a target does whose process has ended. Open ones stay with the script.
+    void stopListening();
+    /// Accepts connections at the same port again.
+    void listenAgain();
+
     unsigned requests() const { return m_requests; }
     unsigned connections() const { return m_connections; }
     std::vector<std::string> heads() const;
@@ -30,6 +35,7 @@
     void serve(RawConnection);
 
     Script m_script;
+    std::mutex m_listenerMutex;
     Listener m_listener;
     std::atomic<unsigned> m_requests { 0 };
     std::atomic<unsigned> m_connections { 0 };
--- a/Tests/comfreysaild/EntryFixture.cpp
+++ b/Tests/comfreysaild/EntryFixture.cpp
@@ -36,6 +36,18 @@
     });
 }
 
+void EntryTarget::crash()
+{
+    isDown = true;
+    server->stopListening();
+}
+
+void EntryTarget::restart()
+{
+    isDown = false;
+    server->listenAgain();
+}
+
 std::string EntryTarget::loadResponse() const
 {
     return wholeResponse("", "X-Comfreysail-Instance-Id: " + id + "\r\nX-Comfreysail-Backend-Load: " + load + "\r\n");
--- a/Tests/comfreysaild/EntryFixture.h
+++ b/Tests/comfreysaild/EntryFixture.h
@@ -13,6 +13,10 @@
 struct EntryTarget {
     EntryTarget(std::string id, ScriptedTarget::Script);
 
+    /// Ends as a process does: it refuses connections and its script resets the open ones.
+    void crash();
+    void restart();
+
     /// The response to a load probe.
     std::string loadResponse() const;
 
--- a/Tests/comfreysaild/TestEntryCrashingRequests.cpp
+++ b/Tests/comfreysaild/TestEntryCrashingRequests.cpp
@@ -19,7 +19,7 @@
 /// The time by the fake platform's clock, which is the steady clock of this machine.
 Core::Duration storeNow() { return Core::monotonicNow().time_since_epoch(); }
 
-/// A fixture whose targets fail on demand: they close their connections and respond to nothing.
+/// A fixture whose targets crash on demand: they reset their connections and refuse new ones until they restart.
 class CrashFixture : public EntryFixture {
 public:
     /// Adds targets that take `workTime` for a lookup and crash when they get the request /read/poison.
@@ -41,7 +41,7 @@
         for (size_t index = 0; index < m_crashableTargets.size(); ++index) {
             if (m_working[index] == 0 || !m_crashed.insert(index).second)
                 continue;
-            m_crashableTargets[index]->isDown = true;
+            m_crashableTargets[index]->crash();
             return true;
         }
         return false;
@@ -50,7 +50,7 @@
     void restartTargets()
     {
         for (auto* const target : m_crashableTargets)
-            target->isDown = false;
+            target->restart();
     }
 
     unsigned runs() const
@@ -90,14 +90,14 @@
     bool respond(size_t index, std::chrono::milliseconds workTime, RawConnection& connection, std::string const& head)
     {
         auto& target = *m_crashableTargets[index];
-        if (head.starts_with("GET /read/poison ") || head.starts_with("GET /read/poison-while-responding "))
-            target.isDown = true;
         if (head.starts_with("GET /read/poison-while-responding ")) {
             // The system may drop what a reset overtakes, so the daemon gets some time to read it.
             connection.send(
                 signedResponse(head, std::string(m_poisonBodyBytes, 'x')).substr(0, m_poisonBodyBytes - 1000));
             std::this_thread::sleep_for(50ms);
         }
+        if (head.starts_with("GET /read/poison"))
+            target.crash();
         ++m_working[index];
         auto const end = std::chrono::steady_clock::now() + workTime;
         while (!target.isDown && std::chrono::steady_clock::now() < end)
@@ -292,3 +292,39 @@
     CHECK(runs() == before);
     CHECK(call("GET", lookup).status() == 200);
 }
+
+// Guards against a lookup that is refused for ten minutes although no target has crashed: targets that were full reset
+// its connections and the health probes that followed, which were taken for crashes.
+TEST_CASE_METHOD(CrashFixture, "Entry_FullTargetsResetALookupAndTheProbes_LookupIsServedAfterwards")
+{
+    StopAtScopeEnd const stop(*this);
+    std::atomic<bool> areFull { false };
+    // An instance responds to the probe before the send, which shows room, and is full at the send.
+    auto const respond = [&](RawConnection& connection, std::string const& head) {
+        if (!areFull || !head.starts_with("GET " + lookup + " "))
+            return connection.send(signedResponse(head, "whole"));
+        connection.reset();
+        return false;
+    };
+    for (auto const* const id : { "t1", "t2", "t3", "t4" }) {
+        auto& target = addTarget(id, respond);
+        // The service does not report load, so its health path is full like any other.
+        target.loadScript = [&areFull, &target](RawConnection& connection, std::string const&) {
+            if (!areFull)
+                return connection.send(wholeResponse("", "X-Comfreysail-Instance-Id: " + target.id + "\r\n"));
+            connection.reset();
+            return false;
+        };
+    }
+    startNamed("entry-1");
+    CHECK(call("GET", lookup).status() == 200);
+    areFull = true;
+    for (int count = 0; count < 6; ++count) {
+        call("GET", lookup);
+        std::this_thread::sleep_for(400ms);
+    }
+    areFull = false;
+    CHECK(eventually([&] { return call("GET", "/read/other").status() == 200; }));
+    CHECK(eventually([&] { return call("GET", lookup).status() == 200; }));
+    CHECK(storeKeys(crashTable).empty());
+}
--- a/Tests/comfreysaild/TestEntryState.cpp
+++ b/Tests/comfreysaild/TestEntryState.cpp
@@ -507,8 +507,10 @@
                 connection.send(signedResponse(head, "whole"));
                 return true;
             }
-            for (auto* const target : targets)
-                target->isDown = target->isDown || target->id == id;
+            for (auto* const target : targets) {
+                if (target->id == id)
+                    target->crash();
+            }
             connection.reset();
             return false;
         }));
@@ -529,7 +531,7 @@
     }
     CHECK(runs() >= 3);
     for (auto* const target : targets)
-        target->isDown = false;
+        target->restart();
     std::this_thread::sleep_for(3s);
     auto const before = runs();
     CHECK(call("GET", "/read/poison").status() == 503);
