LibHTTP: Refuse cut responses without a length and invalid statuses

Seen by callers: a target responded to a long upload with a 200 without a length, sent a part of the body and reset the connection, and the caller got that part as complete. A response with the status 000 was read as an interim response, and its body as the next response.

Causes: a socket reports a reset once; the write of the upload may get it, and the read then sees the end of the stream. The check of a status looked at its digits only. Ruled out: the reader of LibStore (StoreClient_InvalidHead_IsAnError passed before) and field names with blanks or control bytes, which HeadCheck refused.

Change: a body without a length is complete only if no write failed and the socket was not reset; a status is from 100 to 599.

--- a/Libraries/LibHTTP/ClientConnection.cpp
+++ b/Libraries/LibHTTP/ClientConnection.cpp
@@ -73,6 +73,8 @@
     auto const [error, size] = co_await asio::async_write(m_stream.socket, buffers, useTuple);
     if (size > 0)
         m_hasSent = true;
+    if (error)
+        m_stream.hasWriteFailed = true;
     co_return !error;
 }
 
--- a/Libraries/LibHTTP/HeadCheck.cpp
+++ b/Libraries/LibHTTP/HeadCheck.cpp
@@ -13,6 +13,10 @@
 using Core::ErrorKind;
 using Core::Result;
 
+constexpr std::string_view minStatus = "100";
+constexpr std::string_view maxStatus = "599";
+constexpr size_t statusBegin = 9; // Behind the version and a blank.
+constexpr size_t statusEnd = statusBegin + 3;
 constexpr size_t maxContentLengthDigits = 18; // 19 digits can overflow a signed 64-bit integer in the receiver.
 
 bool isTokenCharacter(char character)
@@ -59,11 +63,17 @@
 
 std::string checkStatusLine(std::string_view line)
 {
-    auto const status = line.substr(std::min<size_t>(9, line.size()), 3);
+    auto const status = line.substr(std::min(statusBegin, line.size()), statusEnd - statusBegin);
     if (!line.starts_with("HTTP/1.1 ") && !line.starts_with("HTTP/1.0 "))
         return "the version is not HTTP/1.0 or HTTP/1.1";
     if (status.size() != 3 || !std::all_of(status.begin(), status.end(), isDigit))
         return "the status is not three digits";
+    if (status < minStatus || status > maxStatus)
+        return "the status is not from 100 to 599";
+    if (line.size() > statusEnd && line[statusEnd] != ' ')
+        return "there is no blank after the status";
+    if (!std::all_of(line.begin() + statusEnd, line.end(), isFieldValueCharacter))
+        return "the reason contains a control character";
     return {};
 }
 
--- a/Libraries/LibHTTP/HeadCheck.h
+++ b/Libraries/LibHTTP/HeadCheck.h
@@ -26,7 +26,8 @@
 
 /// Checks a complete head for everything that two HTTP parsers may interpret differently (request smuggling): invalid
 /// line endings, folded lines, whitespace before the colon, control characters, more than one length, transfer codings
-/// other than chunked. Errors: MalformedRequest for a request, InvalidTargetAnswer for a response.
+/// other than chunked, and a status that does not exist. Errors: MalformedRequest for a request, InvalidTargetAnswer
+/// for a response.
 Core::Result<Core::Empty> checkHead(std::string_view head, MessageKind);
 
 }
--- a/Libraries/LibHTTP/MessageReader.cpp
+++ b/Libraries/LibHTTP/MessageReader.cpp
@@ -128,7 +128,12 @@
             if (stream.received.data().size() >= limits.maxHeaderBytes + bodyReadSize)
                 co_return Error { ErrorKindsFor<kind>::malformed, "a chunk header or trailer is too large" };
             auto const error = co_await stream.receive(bodyReadSize);
-            if (error == asio::error::eof && !isRequest && beast->need_eof()) {
+            bool const mayEndHere = error == asio::error::eof && !isRequest && beast->need_eof();
+            // The socket reports a reset once. If a write of the request body got it, the read reports the end of the
+            // stream.
+            if (mayEndHere && stream.mayHaveBeenReset())
+                co_return Error { ErrorKindsFor<kind>::lost, "the connection was reset" };
+            if (mayEndHere) {
                 // Only an orderly close completes a body without a length; after a reset it may be truncated.
                 ErrorCode ignored;
                 beast->put_eof(ignored);
--- a/Libraries/LibHTTP/Stream.cpp
+++ b/Libraries/LibHTTP/Stream.cpp
@@ -63,6 +63,15 @@
     socket.close(ignored);
 }
 
+bool Stream::mayHaveBeenReset()
+{
+    if (hasWriteFailed || !socket.is_open())
+        return true;
+    // After an orderly close this side could still send.
+    pollfd entry { socket.native_handle(), POLLIN, 0 };
+    return ::poll(&entry, 1, 0) > 0 && (entry.revents & (POLLHUP | POLLERR)) != 0;
+}
+
 bool Stream::isOpenWithoutInput()
 {
     if (!received.isEmpty() || !socket.is_open())
--- a/Libraries/LibHTTP/Stream.h
+++ b/Libraries/LibHTTP/Stream.h
@@ -36,6 +36,7 @@
 
     tcp::socket socket;
     ReceiveBuffer received;
+    bool hasWriteFailed { false }; ///< A write failed, so it may have taken the error of a reset from the socket.
 
     /// Receives up to `count` bytes into `received`. Returns an error at the end of the stream.
     awaitable<ErrorCode> receive(size_t count);
@@ -46,6 +47,10 @@
     /// Closes with a TCP reset, so that the other side cannot mistake a truncated body for a complete one.
     void reset();
 
+    /// After the end of the stream: true if the other side may have reset the connection instead of closing it in
+    /// order.
+    bool mayHaveBeenReset();
+
     /// True if the other side has neither closed the connection nor sent any bytes. For idle connections only.
     bool isOpenWithoutInput();
 
--- a/Tests/LibHTTP/TestHeadCheck.cpp
+++ b/Tests/LibHTTP/TestHeadCheck.cpp
@@ -61,6 +61,24 @@
     }
 }
 
+// Guards against a damaged response that is passed on as one, or read as an interim response with another one behind.
+TEST_CASE("HeadCheck_ResponseHead_IsAcceptedOnlyIfItIsValid", "[HeadCheck]")
+{
+    auto const isAcceptedResponse
+        = [](std::string const& head) { return !isError(checkHead(head + "\r\n", MessageKind::Response)); };
+    for (auto const* const head :
+        { "HTTP/1.1 200 OK\r\n", "HTTP/1.1 100 Continue\r\n", "HTTP/1.1 599 \r\n", "HTTP/1.0 204\r\nX!#$: a b\r\n" })
+        CHECK(isAcceptedResponse(head));
+    for (auto const* const head :
+        { "HTTP/1.1 000 OK\r\n", "HTTP/1.1 099 OK\r\n", "HTTP/1.1 600 OK\r\n", "HTTP/1.1 2000 OK\r\n",
+            "HTTP/1.1 20 OK\r\n", "HTTP/1.1 -20 OK\r\n", "HTTP/1.1 200\tOK\r\n", "HTTP/1.1 200 O\x01K\r\n",
+            "HTTP/1.1  200 OK\r\n", "HTTP/1.1 200 OK\r\nBad Name: x\r\n", "HTTP/1.1 200 OK\r\nBad\x01Name: x\r\n",
+            "HTTP/1.1 200 OK\r\nBad\x7fName: x\r\n", "HTTP/1.1 200 OK\r\nName : x\r\n" }) {
+        CAPTURE(head);
+        CHECK_FALSE(isAcceptedResponse(head));
+    }
+}
+
 TEST_CASE("HeadCheck_ValidHead_IsAccepted", "[HeadCheck]")
 {
     CHECK(isAccepted(start + "\r\n"));
--- a/Tests/LibHTTP/TestTruncatedResponse.cpp
+++ b/Tests/LibHTTP/TestTruncatedResponse.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/use_future.hpp>
 #include <catch2/catch.hpp>
+#include <thread>
 
 using namespace Comfreysail;
 using namespace Comfreysail::HTTP;
@@ -32,7 +33,8 @@
 }
 
 /// The body if the response was complete.
-awaitable<std::optional<std::string>> readResponse(asio::io_context& context, Endpoint endpoint)
+awaitable<std::optional<std::string>> readResponse(
+    asio::io_context& context, Endpoint endpoint, std::string requestBody = {})
 {
     auto const connection
         = std::make_shared<ClientConnection>(context.get_executor(), std::move(endpoint), ReadLimits {});
@@ -43,7 +45,9 @@
     head.method = "GET";
     head.target = "/";
     head.fields.add("Host", "a");
-    auto const sent = co_await connection->send(head, std::make_shared<std::string const>());
+    if (!requestBody.empty())
+        head.contentLength = requestBody.size();
+    auto const sent = co_await connection->send(head, std::make_shared<std::string const>(std::move(requestBody)));
     auto const response = co_await connection->readHead("GET");
     if (isError(sent) || isError(response))
         co_return std::nullopt;
@@ -92,3 +96,67 @@
             CHECK(received == body);
     }
 }
+
+// Guards against a part of a response that counts as complete. The target responds before it has read a long upload,
+// and resets the connection while that is still written. The write gets the error of the reset then, and a read that
+// follows reports the end of the stream as after an orderly close.
+TEST_CASE("Response_WithoutLengthThatIsResetDuringTheUpload_IsNotComplete", "[MessageReader]")
+{
+    auto const delay = std::chrono::milliseconds(GENERATE(0, 1, 5, 20));
+    ScriptedTarget const target([&](Tests::RawConnection& connection, std::string const&) {
+        connection.send("HTTP/1.1 200 OK\r\n\r\n" + body.substr(0, 4));
+        std::this_thread::sleep_for(delay);
+        connection.reset();
+        return false;
+    });
+    asio::io_context context;
+    for (int count = 0; count < 20; ++count) {
+        CAPTURE(delay.count(), count);
+        context.restart();
+        auto result = asio::co_spawn(context,
+            readResponse(context, { "127.0.0.1", target.port() }, std::string(size_t { 32 } << 20, 'u')),
+            asio::use_future);
+        context.run();
+        CHECK_FALSE(result.get());
+    }
+}
+
+// The counterpart: a response that ends with an orderly close is complete, also if the target leaves the upload unread
+// for a while.
+TEST_CASE("Response_WithoutLengthThatEndsDuringTheUpload_IsComplete", "[MessageReader]")
+{
+    ScriptedTarget const target([&](Tests::RawConnection& connection, std::string const&) {
+        connection.send("HTTP/1.1 200 OK\r\n\r\n" + body);
+        connection.closeSendingSide();
+        std::this_thread::sleep_for(std::chrono::milliseconds(200));
+        connection.waitForEnd(std::chrono::seconds(2));
+        return false;
+    });
+    asio::io_context context;
+    auto result = asio::co_spawn(context,
+        readResponse(context, { "127.0.0.1", target.port() }, std::string(size_t { 32 } << 20, 'u')), asio::use_future);
+    context.run();
+    CHECK(result.get() == body);
+}
+
+// Guards against a response whose head is not valid: one with the status 000 was skipped like an interim response, and
+// its body was read as the next response.
+TEST_CASE("Response_InvalidHead_IsNotRead", "[MessageReader]")
+{
+    std::string const inner = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother";
+    auto const length = "Content-Length: " + std::to_string(inner.size()) + "\r\n";
+    auto const head = GENERATE_REF("HTTP/1.1 000 Error\r\n" + length, "HTTP/1.1 099 Error\r\n" + length,
+        "HTTP/1.1 600 Error\r\n" + length, "HTTP/1.1 2000 Error\r\n" + length,
+        "HTTP/1.1 200 OK\r\nBad Name: x\r\n" + length, "HTTP/1.1 200 OK\r\nBad\tName: x\r\n" + length,
+        "HTTP/1.1 200 OK\r\nBad\x01Name: x\r\n" + length, "HTTP/1.1 200 OK\r\nBad\x7fName: x\r\n" + length,
+        "HTTP/1.1 200 OK\r\nContent-Length : 5\r\n" + length);
+    CAPTURE(head);
+    ScriptedTarget const target([&](Tests::RawConnection& connection, std::string const&) {
+        connection.send(head + "\r\n" + inner);
+        return false;
+    });
+    asio::io_context context;
+    auto result = asio::co_spawn(context, readResponse(context, { "127.0.0.1", target.port() }), asio::use_future);
+    context.run();
+    CHECK_FALSE(result.get());
+}
--- a/Tests/Platform/TestStoreResponses.cpp
+++ b/Tests/Platform/TestStoreResponses.cpp
@@ -137,3 +137,20 @@
     CHECK(isError(readTable(context, client, "t")));
     CHECK_FALSE(isError(readTable(context, client, "t", 1s)));
 }
+
+// Guards against a damaged response of the store that counts as one: a field name with a blank or a control byte, or a
+// status that does not exist.
+TEST_CASE("StoreClient_InvalidHead_IsAnError")
+{
+    auto const head = GENERATE(as<std::string> {}, "000 Error\r\n", "600 Error\r\n", "200 OK\r\nBad Name: x\r\n",
+        "200 OK\r\nBad\x01Name: x\r\n", "200 OK\r\nBad\x7fName: x\r\n", "200 OK\r\nContent-Length : 5\r\n");
+    CAPTURE(head);
+    auto const body = page("servers", "a");
+    ScriptedTarget const store([&](RawConnection& connection, std::string const&) {
+        return connection.send(
+            "HTTP/1.1 " + head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    });
+    boost::asio::io_context context;
+    Platform::StoreClient client(context.get_executor(), "127.0.0.1", store.port());
+    CHECK(isError(readTable(context, client, "servers")));
+}
--- a/Tests/Support/RawConnection.cpp
+++ b/Tests/Support/RawConnection.cpp
@@ -186,6 +186,8 @@
         ::close(std::exchange(m_descriptor, -1));
 }
 
+void RawConnection::closeSendingSide() { ::shutdown(m_descriptor, SHUT_WR); }
+
 void RawConnection::reset()
 {
     linger const option { 1, 0 };
--- a/Tests/Support/RawConnection.h
+++ b/Tests/Support/RawConnection.h
@@ -46,6 +46,8 @@
     bool waitForEnd(std::chrono::milliseconds);
 
     void close();
+    /// Ends what this side sends; the other direction stays open.
+    void closeSendingSide();
     /// Closes the connection with a TCP reset.
     void reset();
     void setTimeout(std::chrono::milliseconds);
