--- a/Tests/Fakes/FakePlatform/PlatformCalls.cpp
+++ b/Tests/Fakes/FakePlatform/PlatformCalls.cpp
@@ -118,6 +118,15 @@
     return std::chrono::milliseconds(numberOf(parameter(target.substr(question + 1), "wait-ms")).value_or(0));
 }
 
+bool PlatformCalls::restoreCopy()
+{
+    if (!m_copy)
+        return false;
+    m_tables = *m_copy;
+    ++m_era;
+    return true;
+}
+
 bool PlatformCalls::exceedsRateLimit(bool isWrite, Clock::time_point now)
 {
     if (now - m_rateWindowStart >= std::chrono::seconds(1)) {
--- a/Tests/Fakes/FakePlatform/PlatformCalls.h
+++ b/Tests/Fakes/FakePlatform/PlatformCalls.h
@@ -46,6 +46,12 @@
     static std::chrono::milliseconds feedWaitTime(std::string_view target);
 
     void dropHistory() { m_tables.dropHistory(); }
+    /// Keeps a copy of all rows and objects, with the revision.
+    void keepCopy() { m_copy = m_tables; }
+    /// Goes back to the last copy and begins the next era. False if there is no copy.
+    bool restoreCopy();
+    /// Number of the current era. Each return from a copy raises it by one.
+    uint64_t era() const { return m_era; }
     std::string stats(std::string_view mode) const;
 
 private:
@@ -57,6 +63,8 @@
 
     CallRates m_rates;
     RowTables m_tables;
+    std::optional<RowTables> m_copy;
+    uint64_t m_era { 1 };
     Clock::time_point m_rateWindowStart {};
     unsigned m_writesInSecond { 0 };
     unsigned m_readsInSecond { 0 };
--- a/Tests/Fakes/FakePlatform/PlatformServer.cpp
+++ b/Tests/Fakes/FakePlatform/PlatformServer.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <platform/Platform.h>
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
@@ -110,6 +111,7 @@
         http::response<http::string_body> response { static_cast<http::status>(reply->status), 11,
             std::move(reply->body) };
         response.set(http::field::content_type, reply->contentType);
+        response.set(Platform::storeEraField, std::to_string(m_calls.era()));
         response.keep_alive(request.keep_alive());
         response.prepare_payload();
         auto const [writeCode, written] = co_await http::async_write(*stream, response, useTuple);
@@ -182,6 +184,12 @@
         m_calls.dropHistory();
         return PlatformCalls::Answer { 200, "{}" };
     }
+    if (target == "/keep-copy" && method == "POST") {
+        m_calls.keepCopy();
+        return PlatformCalls::Answer { 200, "{}" };
+    }
+    if (target == "/restore-copy" && method == "POST")
+        return PlatformCalls::Answer { m_calls.restoreCopy() ? 200U : 409U, "{}" };
     if (target != "/faults" || method != "POST")
         return {};
     auto const faults = FaultSwitch::fromJson(body);
--- a/Tests/Fakes/FakePlatform/PlatformServer.h
+++ b/Tests/Fakes/FakePlatform/PlatformServer.h
@@ -12,7 +12,8 @@
 
 namespace Comfreysail::Fakes {
 
-/// Single-threaded HTTP server of the fake platform. /faults, /stats and /drop-history work in every fault mode.
+/// Single-threaded HTTP server of the fake platform. /faults, /stats, /drop-history, /keep-copy and /restore-copy work
+/// in every fault mode.
 class PlatformServer {
 public:
     using Endpoint = boost::asio::ip::tcp::endpoint;
--- a/Tests/Fakes/FakePlatform/RowTables.cpp
+++ b/Tests/Fakes/FakePlatform/RowTables.cpp
@@ -61,7 +61,8 @@
 
 std::optional<std::vector<RowTables::Change>> RowTables::changesAfter(std::string const& table, uint64_t revision) const
 {
-    if (revision < m_historyBegin)
+    // A revision above the newest one comes from before the store went back to a copy.
+    if (revision < m_historyBegin || revision > m_revision)
         return std::nullopt;
     std::vector<Change> changes;
     for (auto const& change : m_history) {
--- a/Tests/comfreysaild/EntryFixture.cpp
+++ b/Tests/comfreysaild/EntryFixture.cpp
@@ -126,6 +126,16 @@
 
 void EntryFixture::setFaults(std::string const& json) { callPlatform(m_controlPort, "POST", "/faults", json); }
 
+void EntryFixture::copyStore() { callPlatform(m_controlPort, "POST", "/keep-copy", ""); }
+
+void EntryFixture::restoreStore(std::chrono::milliseconds absence)
+{
+    setFaults(R"({"mode":"down"})");
+    std::this_thread::sleep_for(absence);
+    callPlatform(m_controlPort, "POST", "/restore-copy", "");
+    setFaults(R"({"mode":"up"})");
+}
+
 void EntryFixture::writePlan(int version, std::string const& additionalRoutes)
 {
     writeOperatorRow("config",
--- a/Tests/comfreysaild/EntryFixture.h
+++ b/Tests/comfreysaild/EntryFixture.h
@@ -56,6 +56,10 @@
     std::string storeRow(std::string const& table, std::string const& key);
     /// Sets the faults of the fake platform's store.
     void setFaults(std::string const& json);
+    /// Keeps a copy of the store, to which restoreStore() goes back.
+    void copyStore();
+    /// The store is away for `absence` and comes back from the copy, in its next era.
+    void restoreStore(std::chrono::milliseconds absence);
 
     DaemonProcess& startDaemon(DaemonOptions options = {});
     /// Ends all daemons, and then all targets.
