comfreysaild: Go on when the store comes back from an older copy

Seen by callers: after the store had come back from a copy some seconds old, a route that was added then was refused with 404, for seconds or for good, and operators never heard that a move was completed whose result the store had lost.

Cause: rows and tables were compared by revisions, which the store gives out again after its return. Ruled out: the relay between daemons (a single daemon shows it) and the settings' own version, which is newer.

Change: StoreClient reads Store-Era, and a revision becomes the number of a StorePosition (era first); in era 0 it is the revision itself. Responses and conditions of earlier eras are refused. For 2 s RestoredTable keeps what is in force, as far as its owner has written nothing since. An order that says the same in a later era is the same order, and its result is written again. Crash reports that a copy lacks are not withdrawn, but written again; member rows come back with a random delay. FakePlatform answers 410 to a feed from a lost revision only after a return; before, it did so for each revision above the newest one, which PlatformCalls_FeedAfterHistoryDrop_AnswersGone rules out.

--- a/Libraries/LibStore/HttpCaller.cpp
+++ b/Libraries/LibStore/HttpCaller.cpp
@@ -156,7 +156,10 @@
     auto const status = response.result_int();
     if (status >= 500)
         co_return failure(request.isWrite, m_options.subject + " answered " + std::to_string(status));
-    co_return Answer { status, std::move(response.body()) };
+    std::vector<std::pair<std::string, std::string>> fields;
+    for (auto const& field : response)
+        fields.emplace_back(field.name_string(), field.value());
+    co_return Answer { status, std::move(response.body()), std::move(fields) };
 }
 
 HttpCaller::ConnectionPointer HttpCaller::takeIdle()
--- a/Libraries/LibStore/HttpCaller.h
+++ b/Libraries/LibStore/HttpCaller.h
@@ -36,6 +36,8 @@
     struct Answer {
         unsigned status { 0 };
         std::string body;
+        std::vector<std::pair<std::string, std::string>>
+            fields {}; ///< Of the head, in the order in which they arrived.
     };
 
     HttpCaller(boost::asio::any_io_executor, HttpStoreOptions);
--- a/Libraries/LibTraffic/Traffic.h
+++ b/Libraries/LibTraffic/Traffic.h
@@ -20,12 +20,14 @@
 #include <LibTraffic/RelayTree.h>
 #include <LibTraffic/RequestRateEstimate.h>
 #include <LibTraffic/ResponseVerdict.h>
+#include <LibTraffic/RestoredTable.h>
 #include <LibTraffic/RetryAdvice.h>
 #include <LibTraffic/RouteTable.h>
 #include <LibTraffic/ServiceTimeEstimate.h>
 #include <LibTraffic/SharedRetryBudget.h>
 #include <LibTraffic/SharedRows.h>
 #include <LibTraffic/StoreClock.h>
+#include <LibTraffic/StorePosition.h>
 #include <LibTraffic/TargetDirectory.h>
 #include <LibTraffic/TargetLimit.h>
 #include <LibTraffic/TargetLoad.h>
--- a/Libraries/LibTraffic/VersionMove.h
+++ b/Libraries/LibTraffic/VersionMove.h
@@ -16,6 +16,10 @@
     bool operator==(VersionMove const&) const = default;
 };
 
+/// Returns true if an order was written again after the store came back from an older copy: it is of a later era, but
+/// says the same. Within one era each row is an order of its own.
+bool isSameOrder(VersionMove const& earlier, VersionMove const& later);
+
 enum class MoveState : uint8_t {
     Running,
     Completed,
--- a/Services/comfreysaild/CrashReporter.cpp
+++ b/Services/comfreysaild/CrashReporter.cpp
@@ -60,6 +60,12 @@
         enqueue(key, std::nullopt);
 }
 
+void CrashReporter::restore(std::map<std::string, std::string> const& rows)
+{
+    for (auto const& [key, value] : rows)
+        enqueue(key, value);
+}
+
 void CrashReporter::enqueue(std::string key, std::optional<std::string> value)
 {
     if (m_pending.size() >= maxPending) {
--- a/Services/comfreysaild/CrashReporter.h
+++ b/Services/comfreysaild/CrashReporter.h
@@ -22,6 +22,8 @@
 
     /// Removes rows that have expired.
     void remove(std::vector<std::string> const& keys);
+    /// Writes rows again that the store has lost, by key.
+    void restore(std::map<std::string, std::string> const& rows);
 
 private:
     void enqueue(std::string key, std::optional<std::string> value);
--- a/Services/comfreysaild/CrashRows.cpp
+++ b/Services/comfreysaild/CrashRows.cpp
@@ -2,6 +2,7 @@
 
 #include "RowAdopter.h"
 #include <algorithm>
+#include <utility>
 
 namespace Comfreysail::Daemon {
 
@@ -15,14 +16,18 @@
 void CrashRows::adopt(Instant now)
 {
     auto const& shared = m_state.sharedRows;
-    if (shared.revisionOf(Platform::Table::crashes) == 0
-        || shared.versionOf(Platform::Table::crashes) == m_tableVersion)
+    if (shared.revisionOf(Platform::Table::crashes) == 0)
         return;
-    m_tableVersion = shared.versionOf(Platform::Table::crashes);
     auto const& table = shared.table(Platform::Table::crashes);
+    auto const era = Traffic::positionOf(shared.revisionOf(Platform::Table::crashes)).era;
+    if (std::exchange(m_era, era).value_or(era) < era)
+        noteLostRows(table, now);
+    if (shared.versionOf(Platform::Table::crashes) == m_tableVersion)
+        return;
+    m_tableVersion = shared.versionOf(Platform::Table::crashes);
     std::erase_if(m_rows, [&](auto const& item) {
         auto const& [key, row] = item;
-        bool const isRemoved = !table.contains(key);
+        bool const isRemoved = !table.contains(key) && !row.isLost;
         if (isRemoved && row.report)
             m_state.quarantine.withdraw(*row.report);
         return isRemoved;
@@ -31,10 +36,29 @@
         auto const found = m_rows.find(key);
         if (found == m_rows.end() || found->second.text != text)
             add(key, text, now);
+        else
+            found->second.isLost = false;
     }
     m_hasAdopted = true;
 }
 
+void CrashRows::noteLostRows(Traffic::SharedRows::Table const& table, Instant now)
+{
+    for (auto& [key, row] : m_rows) {
+        row.isLost = !table.contains(key);
+        if (row.isLost && row.report)
+            m_lostRows[key] = storeRow(key, row.text).value;
+    }
+    // This daemon's own reports of the last seconds were not read back from the store yet.
+    for (auto const& entry : m_state.quarantine.entries(now)) {
+        for (auto const& instance : entry.targetInstances) {
+            auto const key = Retry::crashRowKey({ entry.fingerprint, instance });
+            if (!table.contains(key) && !m_rows.contains(key))
+                m_lostRows[key] = Retry::crashRowValue(m_state.storeClock.at(now));
+        }
+    }
+}
+
 void CrashRows::add(std::string const& key, std::string const& text, Instant now)
 {
     auto const row = Retry::parseCrashRow(key, storeRow(key, text).value);
--- a/Services/comfreysaild/EntryState.h
+++ b/Services/comfreysaild/EntryState.h
@@ -51,6 +51,8 @@
     uint64_t planRowRevision { 0 };                   ///< Of the last row with a plan, also a refused one.
     std::set<std::string, std::less<>> zonesOutOfService;
     std::map<std::string, MoveInProgress, std::less<>> moves; ///< By service.
+    /// Moves whose order is missing since the store came back from an older copy, by service.
+    std::map<std::string, MoveInProgress, std::less<>> movesWithoutOrder;
     /// From before the newest order, by service. Kept when the order is withdrawn.
     std::map<std::string, Traffic::VersionHistory, std::less<>> versionHistories;
     Traffic::EvidenceLedger evidence; ///< Of all daemons, as far as it arrived here.
--- a/Services/comfreysaild/RowAdopter.cpp
+++ b/Services/comfreysaild/RowAdopter.cpp
@@ -107,6 +107,27 @@
     m_state.plan = std::make_shared<Traffic::TrafficPlan const>(takeValue(std::move(plan)));
 }
 
+std::optional<MoveInProgress> RowAdopter::restoredMove(Traffic::VersionMove const& order)
+{
+    auto const found = m_state.moves.find(order.service);
+    auto const lost = m_state.movesWithoutOrder.find(order.service);
+    MoveInProgress const* known = nullptr;
+    if (found != m_state.moves.end())
+        known = &found->second;
+    else if (lost != m_state.movesWithoutOrder.end())
+        known = &lost->second;
+    if (!known || !Traffic::isSameOrder(known->move, order))
+        return std::nullopt;
+    auto restored = *known;
+    if (m_state.verdicts.contains(order.service) && m_state.verdicts[order.service] == restored.move.orderedAt)
+        noteVerdict(m_state, order.service, order.orderedAt);
+    restored.move = order;
+    // The store may have lost the rows about it, too.
+    restored.isStartKnown = false;
+    restored.resultRevision = 0;
+    return restored;
+}
+
 void RowAdopter::noteMoveEnd(MoveInProgress const& progress)
 {
     auto& history = m_state.versionHistories[progress.move.service];
@@ -123,6 +144,17 @@
         auto const found = m_state.moves.find(move.service);
         if (found != m_state.moves.end() && found->second.move.orderedAt >= move.orderedAt)
             continue;
+        auto restored = restoredMove(move);
+        m_state.movesWithoutOrder.erase(move.service);
+        if (restored) {
+            Telemetry::EventLine("move_order_restored")
+                .add("service", move.service)
+                .add("to", move.toVersion)
+                .add("state", static_cast<int>(restored->state))
+                .logInfo();
+            m_state.moves.insert_or_assign(move.service, std::move(*restored));
+            continue;
+        }
         if (found != m_state.moves.end())
             noteMoveEnd(found->second);
         MoveInProgress progress;
@@ -141,12 +173,17 @@
         if (present.contains(item.first))
             return false;
         noteMoveEnd(item.second);
+        auto const tableEra = Traffic::positionOf(m_state.sharedRows.revisionOf(Platform::Table::operators)).era;
+        if (Traffic::positionOf(item.second.move.orderedAt).era < tableEra)
+            m_state.movesWithoutOrder.insert_or_assign(item.first, item.second);
         return true;
     });
     std::set<Traffic::EvidenceLedger::Move> orders;
     for (auto const& [service, progress] : m_state.moves)
         orders.insert(progress.move.orderedAt);
     m_state.evidence.setMoves(orders);
+    for (auto const& [service, progress] : m_state.moves)
+        m_state.evidence.note(progress.move.orderedAt, m_state.evidenceOrigin, progress.evidence);
 }
 
 void RowAdopter::noteEarlierStart(std::string const& service, Traffic::MoveStart const& start)
@@ -175,7 +212,7 @@
         if (progress.isStartKnown || !startedAt)
             continue;
         progress.isStartKnown = true;
-        progress.missedTrialStart = progress.startedAt - *startedAt > maxDelayOfOrder;
+        progress.missedTrialStart = progress.missedTrialStart || progress.startedAt - *startedAt > maxDelayOfOrder;
         progress.startedAt = std::min(progress.startedAt, *startedAt);
         auto& history = m_state.versionHistories[service];
         history = Traffic::mergedHistory(std::move(history), start->history);
@@ -201,6 +238,11 @@
         if (found == m_state.moves.end())
             continue;
         auto& progress = found->second;
+        // The revisions of two eras say nothing about the order of the two rows.
+        bool const isOfThisEra
+            = Traffic::positionOf(row.revision).era == Traffic::positionOf(progress.move.orderedAt).era;
+        if (!isOfThisEra)
+            continue;
         progress.resultRevision = std::max(progress.resultRevision, row.revision);
         bool const isAboutThisOrder
             = valueOf(result).toVersion == progress.move.toVersion && row.revision > progress.move.orderedAt;
--- a/Services/comfreysaild/RowAdopter.h
+++ b/Services/comfreysaild/RowAdopter.h
@@ -23,12 +23,16 @@
     void adoptDecisions();
     /// The keys of the crash rows that have expired.
     std::vector<std::string> expiredCrashKeys(Core::Instant now) const { return m_crashRows.expiredKeys(now); }
+    /// The crash rows that the store has lost by a return from an older copy, once each.
+    std::map<std::string, std::string> takeLostCrashRows() { return m_crashRows.takeLostRows(); }
     /// Applies to the directory what has changed in the targets since the last call. `now`: the current time.
     void adoptTargets(Core::Instant now);
 
 private:
     void adoptPlan(Platform::StoreRow const&);
     void adoptMoves(std::vector<Traffic::VersionMove> const&);
+    /// Returns the move that this order belongs to, if the store lost the order and it was written again.
+    std::optional<MoveInProgress> restoredMove(Traffic::VersionMove const& order);
     /// Adds how a move ended to the history of its service, before another order replaces it.
     void noteMoveEnd(MoveInProgress const&);
     /// Takes the history of a service from the start of an earlier order, if this daemon knows none.
--- a/Services/comfreysaild/StoreFollower.cpp
+++ b/Services/comfreysaild/StoreFollower.cpp
@@ -356,6 +356,7 @@
         co_await m_reader.readTable(Platform::Table::crashes);
         adoptRows();
         m_crashReporter.remove(m_adopter.expiredCrashKeys(Core::monotonicNow()));
+        m_crashReporter.restore(m_adopter.takeLostCrashRows());
     }
     co_return true;
 }
@@ -378,6 +379,9 @@
     auto const found = rows.find(m_self.name);
     auto const text = Traffic::memberText(m_self);
     bool const isRegistered = found != rows.end() && storeRow(m_self.name, found->second).value == text;
+    // After the store has come back from an older copy, all daemons find their rows missing at once.
+    if (std::exchange(m_wasRegistered, isRegistered) && !isRegistered)
+        m_registeredAt = now - randomUpTo(registrationInterval);
     bool const wasTried = m_registeredAt != Instant {} && now - m_registeredAt < registrationInterval;
     if (isRegistered || wasTried || !m_state.hasReadTargets)
         co_return;
--- a/Services/comfreysaild/StoreFollower.h
+++ b/Services/comfreysaild/StoreFollower.h
@@ -59,6 +59,7 @@
     Core::Instant m_startedAt {};
     Core::Instant m_membersReadAt {};
     Core::Instant m_registeredAt {};
+    bool m_wasRegistered { false };            ///< At the last look, the own row was among the members.
     std::optional<Core::Instant> m_staleSince; ///< Start of the time in which no polled daemon had fresh rows.
     /// Of the last pollOthers() without fresh rows. Failed: no daemon responded; Stale: at least one did.
     RelayResult m_lastPollResult { RelayResult::Fresh };
--- a/Services/comfreysaild/StoreReader.cpp
+++ b/Services/comfreysaild/StoreReader.cpp
@@ -13,6 +13,34 @@
 // A page that is arriving is read for longer: with some thousand routes it takes about 1 s on a link of 10 Mbit/s, and
 // another call would not be faster.
 constexpr auto maxTransferTime = 1500ms;
+// In which operators and targets write again what the store has lost.
+constexpr auto settlingTime = 2s;
+// Daemons write their own rows again with a random delay of up to 3 s.
+constexpr auto settlingTimeOfMembers = 5s;
+
+/// How long rows in force outlast those of an older copy; zero for tables whose rows the daemons write again
+/// themselves.
+Core::Duration settlingTimeOf(std::string_view table)
+{
+    if (table == Platform::Table::operators || table == Platform::Table::targets)
+        return settlingTime;
+    return table == Platform::Table::members ? Core::Duration(settlingTimeOfMembers) : Core::Duration {};
+}
+
+/// Returns true if the stored settings are newer by the operators' own count, which an older copy does not change.
+bool hasNewerPlan(Traffic::SharedRows::Table const& stored, Traffic::SharedRows::Table const& used)
+{
+    std::string const key(Platform::Key::plan);
+    auto const storedRow = stored.find(key);
+    auto const usedRow = used.find(key);
+    if (storedRow == stored.end() || usedRow == used.end())
+        return storedRow != stored.end();
+    if (storedRow->second == usedRow->second)
+        return false;
+    auto const storedPlan = Platform::decodePlan(storeRow(key, storedRow->second));
+    auto const usedPlan = Platform::decodePlan(storeRow(key, usedRow->second));
+    return !isError(storedPlan) && (isError(usedPlan) || valueOf(storedPlan).revision > valueOf(usedPlan).revision);
+}
 
 }
 
@@ -57,6 +85,10 @@
         auto const& answer = valueOf(page);
         if (answer.storeTime)
             m_state.storeClock.note(*answer.storeTime, Core::monotonicNow());
+        bool const isOtherEra
+            = pages > 0 && Traffic::positionOf(answer.storeRevision).era != Traffic::positionOf(m_lastRevision).era;
+        if (isOtherEra)
+            co_return std::nullopt;
         // Later pages may be newer, so all rows are at least as new as the first page's revision.
         if (pages == 0)
             m_lastRevision = answer.storeRevision;
@@ -86,10 +118,44 @@
             .logWarning();
         co_return false;
     }
-    m_state.sharedRows.replaceTable(table, m_adopter.sharedTable(table, *rows), m_lastRevision, m_isLastReadConsistent);
+    auto const now = Core::monotonicNow();
+    auto used = settle(table, m_adopter.sharedTable(table, *rows), now);
+    // Other daemons end their settling time at another moment, so the digests would differ.
+    bool const isSnapshot = m_isLastReadConsistent && !m_restoredTables.contains(table);
+    m_state.sharedRows.replaceTable(table, used, m_lastRevision, isSnapshot);
     co_return true;
 }
 
+Traffic::SharedRows::Table StoreReader::settle(
+    std::string_view table, Traffic::SharedRows::Table stored, Core::Instant now)
+{
+    auto const known = m_state.sharedRows.revisionOf(table);
+    auto const era = Traffic::positionOf(m_lastRevision).era;
+    if (known > 0 && Traffic::positionOf(known).era < era) {
+        auto const& inForce = m_state.sharedRows.table(table);
+        Telemetry::EventLine("store_restored")
+            .add("table", table)
+            .add("era", era)
+            .add("rows_in_force", inForce.size())
+            .add("rows_stored", stored.size())
+            .logWarning();
+        m_restoredTables.insert_or_assign(
+            std::string(table), Traffic::RestoredTable { inForce, stored, now, settlingTimeOf(table) });
+    }
+    auto const found = m_restoredTables.find(table);
+    if (found == m_restoredTables.end())
+        return stored;
+    if (!Traffic::isSettling(found->second, now)) {
+        m_restoredTables.erase(found);
+        Telemetry::EventLine("store_settled").add("table", table).add("era", era).logInfo();
+        return stored;
+    }
+    auto used = Traffic::settledRows(found->second, stored, now);
+    if (table == Platform::Table::operators && hasNewerPlan(stored, used))
+        used.insert_or_assign(std::string(Platform::Key::plan), stored.find(Platform::Key::plan)->second);
+    return used;
+}
+
 awaitable<bool> StoreReader::write(StoreRow row, bool isConditional)
 {
     auto const table = row.table;
--- a/Services/comfreysaild/StoreReader.h
+++ b/Services/comfreysaild/StoreReader.h
@@ -29,7 +29,11 @@
     Platform::StoreClient& m_client;
     EntryState& m_state;
     RowAdopter& m_adopter;
+    /// Returns the rows of a table to use: those of the store, except while it settles after a return from a copy.
+    Traffic::SharedRows::Table settle(std::string_view table, Traffic::SharedRows::Table stored, Core::Instant now);
+
     uint64_t m_lastRevision { 0 }; ///< Store revision of the last readRows().
+    std::map<std::string, Traffic::RestoredTable, std::less<>> m_restoredTables; ///< By table.
     /// False if the last readRows() took several pages, whose rows may differ in revision.
     bool m_isLastReadConsistent { true };
     std::map<std::string, bool, std::less<>> m_isTableReachable; ///< By table.
--- a/Tests/Fakes/FakePlatform/PlatformCalls.cpp
+++ b/Tests/Fakes/FakePlatform/PlatformCalls.cpp
@@ -188,6 +188,10 @@
     auto const after = numberOf(parameter(query, "after"));
     if (!table || !after)
         return badRequest("table and after are required");
+    // A revision above the newest one comes from before the store went back to a copy.
+    bool const isOfLostRevision = m_era > firstEra && *after > m_tables.revision();
+    if (isOfLostRevision)
+        return Answer { 410, "{}" };
     auto const changes = m_tables.changesAfter(*table, *after);
     if (!changes)
         return Answer { 410, "{}" };
--- a/Tests/Fakes/FakePlatform/PlatformCalls.h
+++ b/Tests/Fakes/FakePlatform/PlatformCalls.h
@@ -64,7 +64,8 @@
     CallRates m_rates;
     RowTables m_tables;
     std::optional<RowTables> m_copy;
-    uint64_t m_era { 1 };
+    static constexpr uint64_t firstEra = 1;
+    uint64_t m_era { firstEra };
     Clock::time_point m_rateWindowStart {};
     unsigned m_writesInSecond { 0 };
     unsigned m_readsInSecond { 0 };
--- a/Tests/Fakes/FakePlatform/RowTables.cpp
+++ b/Tests/Fakes/FakePlatform/RowTables.cpp
@@ -61,8 +61,7 @@
 
 std::optional<std::vector<RowTables::Change>> RowTables::changesAfter(std::string const& table, uint64_t revision) const
 {
-    // A revision above the newest one comes from before the store went back to a copy.
-    if (revision < m_historyBegin || revision > m_revision)
+    if (revision < m_historyBegin)
         return std::nullopt;
     std::vector<Change> changes;
     for (auto const& change : m_history) {
--- a/Tests/Fakes/FakePlatform/RowTables.h
+++ b/Tests/Fakes/FakePlatform/RowTables.h
@@ -25,7 +25,7 @@
         bool isTombstone { false };
     };
     /// Returns the latest change of each row of the table after the revision, in order, or std::nullopt if the history
-    /// does not have that revision.
+    /// no longer goes back to that revision.
     std::optional<std::vector<Change>> changesAfter(std::string const& table, uint64_t revision) const;
     void dropHistory();
 
--- a/Tests/Platform/TestStoreResponses.cpp
+++ b/Tests/Platform/TestStoreResponses.cpp
@@ -154,3 +154,52 @@
     Platform::StoreClient client(context.get_executor(), "127.0.0.1", store.port());
     CHECK(isError(readTable(context, client, "servers")));
 }
+
+// Guards against a late response of the store from before it came back from an older copy.
+TEST_CASE("StoreClient_ResponseOfAnEarlierEra_IsAnError")
+{
+    auto const eras = std::make_shared<std::vector<std::string>>(std::vector<std::string> { "1", "2", "1", "x", "2" });
+    std::atomic<size_t> calls { 0 };
+    ScriptedTarget const store([&](RawConnection& connection, std::string const&) {
+        return connection.send(wholeResponse(page("servers", "a"), "Store-Era: " + eras->at(calls++) + "\r\n"));
+    });
+    boost::asio::io_context context;
+    Platform::StoreClient client(context.get_executor(), "127.0.0.1", store.port());
+    auto const first = readTable(context, client, "servers");
+    auto const second = readTable(context, client, "servers");
+    REQUIRE_FALSE(isError(first));
+    REQUIRE_FALSE(isError(second));
+    CHECK(valueOf(second).storeRevision > valueOf(first).storeRevision);
+    CHECK(isError(readTable(context, client, "servers")));
+    CHECK(isError(readTable(context, client, "servers")));
+    CHECK_FALSE(isError(readTable(context, client, "servers")));
+}
+
+// Guards against a conditional write that hits another row, to which the store gave the same revision in its new era.
+TEST_CASE("StoreClient_ConditionOfAnEarlierEra_IsNotSent")
+{
+    std::atomic<unsigned> writes { 0 };
+    ScriptedTarget const store([&](RawConnection& connection, std::string const& head) {
+        writes += head.starts_with("POST") ? 1 : 0;
+        return connection.send(wholeResponse(page("t", "a"), "Store-Era: 2\r\n"));
+    });
+    boost::asio::io_context context;
+    Platform::StoreClient client(context.get_executor(), "127.0.0.1", store.port());
+    auto const read = readTable(context, client, "t");
+    REQUIRE_FALSE(isError(read));
+    auto const write = [&](uint64_t revision) {
+        Platform::RowTransaction transaction;
+        transaction.conditions.push_back({ "", "a", "", revision, "t" });
+        auto result = boost::asio::co_spawn(
+            context, client.write(std::move(transaction), Core::monotonicNow() + callTimeout), boost::asio::use_future);
+        context.restart();
+        context.run();
+        return result.get();
+    };
+    auto const earlier = write(3);
+    REQUIRE_FALSE(isError(earlier));
+    CHECK(valueOf(earlier) == Platform::WriteEnd::Conflict);
+    CHECK(writes == 0);
+    CHECK(valueOf(write(valueOf(read).rows[0].revision)) == Platform::WriteEnd::Written);
+    CHECK(writes == 1);
+}
--- a/Tests/comfreysaild/TestEntryStoreRestore.cpp
+++ b/Tests/comfreysaild/TestEntryStoreRestore.cpp
@@ -1,6 +1,7 @@
 #include "EntryFixture.h"
 
 #include <catch2/catch.hpp>
+#include <map>
 #include <thread>
 
 using namespace Comfreysail::Tests;
@@ -35,6 +36,9 @@
     {
         return storeRow("status", "rollout/orders").find(state) != std::string::npos;
     }
+
+protected:
+    std::map<std::string, EntryTarget*> m_crashing;
 };
 
 }
@@ -84,3 +88,96 @@
         std::this_thread::sleep_for(100ms);
     }
 }
+
+// Guards against requests to what was taken out of service in the seconds that the store has lost.
+TEST_CASE_METHOD(RestoreFixture, "Entry_StoreLosesThatATargetDrainsOrAZoneIsOut_ItGetsNoRequestsMeanwhile")
+{
+    auto& second = addTarget("t2", respondComplete);
+    StopAtScopeEnd const stop(*this);
+    startDaemon();
+    copyStore();
+    bool const isDrained = GENERATE(true, false);
+    CAPTURE(isDrained);
+    auto const takeOut = [&] {
+        if (isDrained)
+            registerTarget(second, "draining");
+        else
+            writeOperatorRow("evacuate/pos-hall", "{}");
+    };
+    takeOut();
+    std::this_thread::sleep_for(2s);
+    auto const before = second.runs.load();
+    restoreStore(1s);
+    auto const end = std::chrono::steady_clock::now() + 3s;
+    std::this_thread::sleep_for(1500ms);
+    takeOut();
+    while (std::chrono::steady_clock::now() < end)
+        call("GET", "/read/1");
+    CHECK(second.runs == before);
+}
+
+// Guards against a zone that stays out of service although the operators have taken it back after the store's return.
+TEST_CASE_METHOD(RestoreFixture, "Entry_ZoneTakenBackAfterTheReturn_IsUsedAgainInTime")
+{
+    StopAtScopeEnd const stop(*this);
+    startDaemon();
+    writeOperatorRow("evacuate/pos-hall", "{}");
+    copyStore();
+    writeRowsThatAreLost();
+    CHECK(call("GET", "/read/1").status() == 503);
+    restoreStore(1s);
+    std::this_thread::sleep_for(1500ms);
+    removeOperatorRow("evacuate/pos-hall");
+    CHECK(eventually([&] { return call("GET", "/read/1").status() == 200; }, 2s));
+}
+
+// Guards against a request that crashes targets and is let in again because the store has lost the reports.
+TEST_CASE_METHOD(RestoreFixture, "Entry_StoreLosesCrashReports_TheyAreWrittenAgainAndTheRequestStaysRefused")
+{
+    auto const crash = [this](std::string const& id) {
+        return [this, id](RawConnection& connection, std::string const& head) {
+            if (!head.starts_with("GET /read/poison "))
+                return respondComplete(connection, head);
+            m_crashing.at(id)->crash();
+            connection.reset();
+            return false;
+        };
+    };
+    for (auto const* const id : { "c1", "c2", "c3", "c4", "c5" })
+        m_crashing[id] = &addTarget(id, crash(id));
+    removeTarget("t1");
+    StopAtScopeEnd const stop(*this);
+    startDaemon();
+    copyStore();
+    auto const isRefused
+        = [&] { return call("GET", "/read/poison").field("Comfreysail-Error") == "request_quarantined"; };
+    REQUIRE(eventually(isRefused, 5s));
+    auto const reports = [&] { return storeKeys("comfreysail-crashes").size(); };
+    REQUIRE(eventually([&] { return reports() >= 3; }));
+    restoreStore(1s);
+    CHECK(reports() == 0);
+    CHECK(eventually([&] { return reports() >= 3; }, 8s));
+    CHECK(isRefused());
+}
+
+// Guards against a daemon that takes rows of the earlier era from another one, or does not take those of the new era.
+TEST_CASE_METHOD(RestoreFixture, "Entry_DaemonWithoutTheStore_GetsTheNewEraFromAnother")
+{
+    StopAtScopeEnd const stop(*this);
+    auto& reader = startDaemon();
+    DaemonOptions options;
+    options.vmName = "entry-2";
+    options.platformPort = 9; // Nothing listens there.
+    options.seedPorts = { reader.controlPort() };
+    auto const& follower = startDaemon(options);
+    copyStore();
+    writeRowsThatAreLost();
+    restoreStore(1s);
+    writePlan(5, addedRoute());
+    auto const isServed = [&] {
+        auto connection = follower.connect();
+        connection.send(requestText("GET", "/new/1", "f1"));
+        return connection.readResponse().status() == 200;
+    };
+    CHECK(eventually(isServed, 3s));
+}
--- a/Utilities/comfreysail/RouteCommand.cpp
+++ b/Utilities/comfreysail/RouteCommand.cpp
@@ -253,7 +253,7 @@
     auto const answer = context.readFromDaemon(daemon, questionPath(invocation), authorization, context.callDeadline());
     if (Core::isError(answer))
         return problem(ExitCode::DaemonUnreachable, Core::errorOf(answer).detail);
-    auto const& [status, body] = Core::valueOf(answer);
+    auto const& [status, body, fields] = Core::valueOf(answer);
     json::error_code code;
     auto const value = json::parse(body, code);
     if (status == statusBadRequest)
