comfreysaild: Read the start of a replaced move after a restart

Seen by callers: a daemon that started after an order had replaced another one, while none was running, gave requests to the version of the replaced move.

Cause: the log line of a new order created an empty history, which then counted as known, so the start of the earlier move was not read.

Change: an empty history is not taken for a known one.

--- a/Services/comfreysaild/RowAdopter.cpp
+++ b/Services/comfreysaild/RowAdopter.cpp
@@ -189,9 +189,11 @@
 void RowAdopter::noteEarlierStart(std::string const& service, Traffic::MoveStart const& start)
 {
     // A daemon that was running then knows more than the row, which says nothing about the end of that move.
-    if (start.toVersion.empty() || m_state.versionHistories.contains(service))
+    auto& history = m_state.versionHistories[service];
+    bool const isKnown = history != Traffic::VersionHistory {};
+    if (start.toVersion.empty() || isKnown)
         return;
-    m_state.versionHistories[service] = Traffic::historyAfter(start.history, start.toVersion, MoveState::Running);
+    history = Traffic::historyAfter(start.history, start.toVersion, MoveState::Running);
 }
 
 void RowAdopter::adoptMoveStarts(Core::Instant now)
--- a/Tests/comfreysaild/TestEntryMoves.cpp
+++ b/Tests/comfreysaild/TestEntryMoves.cpp
@@ -175,3 +175,26 @@
     sendRequests();
     CHECK(badRuns() == before);
 }
+
+// Guards against requests to a version whose move was replaced by the next order while no daemon was running: only the
+// start of the earlier move, in the store, tells of it.
+TEST_CASE_METHOD(MoveFixture, "Entry_DaemonStartsAfterAnOrderReplacedAnother_ReplacedVersionGetsNothing")
+{
+    auto& oldVersion = addTarget("old", respondComplete);
+    auto& replaced = addTarget("replaced1", respondComplete, "v2");
+    auto& alsoReplaced = addTarget("replaced2", respondComplete, "v2");
+    addTarget("newer", respondComplete, "v3");
+    StopAtScopeEnd const stop(*this);
+    startDaemon();
+    orderMove(60);
+    REQUIRE(eventually([&] { return !storeRow("comfreysail-moves", "orders").empty(); }, 5s));
+    killDaemons();
+    writeOperatorRow("rollout/orders", R"({"service":"orders","to":"v3","duration-s":60})");
+    startDaemon();
+    auto const replacedRuns = [&] { return replaced.runs + alsoReplaced.runs; };
+    auto const before = replacedRuns();
+    for (int count = 0; count < 50; ++count)
+        call("POST", "/pay/1", "order");
+    CHECK(replacedRuns() == before);
+    CHECK(oldVersion.runs > 0);
+}
