--- a/review/11/play.py
+++ b/review/11/play.py
@@ -6,7 +6,7 @@
 import sys
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(FOLDER, "..", "lib-3"))
+sys.path.insert(0, os.path.join(FOLDER, "..", "harness-3"))
 import harness  # noqa: E402
 
 SECONDS = 95
