--- a/review/harness-3/harness.py
+++ b/review/harness-3/harness.py
@@ -15,7 +15,6 @@
 import socket
 import struct
 import subprocess
-import sys
 import tempfile
 import time
 import tomllib
@@ -226,6 +225,13 @@
     case = Case(folder)
     case.record(f"TROUBLE={int(TROUBLE)}")
 
+    def stop(*_):
+        case.record("couldn't run: stopped from outside")
+        case.close()
+        os._exit(2)
+    signal.signal(signal.SIGTERM, stop)
+    signal.signal(signal.SIGINT, stop)
+
     async def main():
         try:
             await asyncio.wait_for(play(case), 110)
