Review: Let the server of case 15 send heartbeats until it ends

Cause: it sent none while it was draining, for 5 s, so nothing corrected the late heartbeat; a sound server writes its entry all the time.

--- a/review/15/play.py
+++ b/review/15/play.py
@@ -69,12 +69,20 @@
     await leaver.register()
     acknowledged = case.now()
     case.record(f"{leaver.name}: draining, sequence {leaver.sequence}, acknowledged by the store at {acknowledged:.3f}")
+
+    async def beat_while_leaving():
+        while True:
+            await asyncio.sleep(harness.HEARTBEAT_S)
+            await leaver.register()
+            case.record(f"{leaver.name}: heartbeat {leaver.sequence} (draining) is done")
+    beating = case.spawn(beat_while_leaving())
     await asyncio.sleep(beat_at + LATE_S - case.now())
     if harness.TROUBLE:
         await case.put_row("servers", leaver.name, late)
         case.record(f"disruption: the heartbeat {late['sequence']} (ready) is done now")
     await asyncio.sleep(acknowledged + SERVES_S - case.now())
     late_ids = [request_id for request_id in leaver.got if sent_at[request_id] > acknowledged + harness.DRAIN_S]
+    beating.cancel()
     leaver.stop()
     case.record(f"{leaver.name}: ends")
     await asyncio.sleep(3)
