--- a/Libraries/LibHTTP/ClientConnection.cpp
+++ b/Libraries/LibHTTP/ClientConnection.cpp
@@ -63,6 +63,7 @@
         co_return Error { ErrorKind::ConnectFailed, connectError.message() };
     m_stream.socket.set_option(tcp::no_delay(true), error);
     m_openedAt = Core::monotonicNow();
+    m_localPort = m_stream.socket.local_endpoint(error).port();
     co_return Empty {};
 }
 
--- a/Libraries/LibHTTP/ClientConnection.h
+++ b/Libraries/LibHTTP/ClientConnection.h
@@ -81,6 +81,8 @@
     bool wasRefused() const { return m_wasRefused; }
 
     Core::Instant openedAt() const { return m_openedAt; }
+    /// The local port, which identifies the connection in logs and captures of the peer; 0 until it is connected.
+    uint16_t localPort() const { return m_localPort; }
     std::optional<Core::Instant> lastResponseAt() const { return m_lastResponseAt; }
     void noteResponse(Core::Instant now) { m_lastResponseAt = now; }
 
@@ -99,6 +101,7 @@
     bool m_hasFailedLocally { false };
     bool m_wasRefused { false };
     Core::Instant m_openedAt {};
+    uint16_t m_localPort { 0 };
     std::optional<Core::Instant> m_lastResponseAt;
     std::optional<Core::Duration> m_announcedIdleTimeout;
     std::shared_ptr<asio::steady_timer> m_senderDone; ///< Never expires; cancelled when the body sender ends.
--- a/Services/comfreysaild/EntryHandler.cpp
+++ b/Services/comfreysaild/EntryHandler.cpp
@@ -85,6 +85,7 @@
             .add("target", target.id)
             .add("verdict", Traffic::verdictName(verdict))
             .add("status", request.response ? request.response->status : 0)
+            .add("local_port", request.lastLocalPort)
             .add("took_ms",
                 request.sentAt == Instant {} ? 0 : Core::toMilliseconds(Core::monotonicNow() - request.sentAt))
             .add("connection_lost", request.wasConnectionLost)
--- a/Services/comfreysaild/TargetExchange.cpp
+++ b/Services/comfreysaild/TargetExchange.cpp
@@ -108,6 +108,7 @@
     request.wasConnectRefusedHere = false;
     request.sentAt = {};
     request.lastTarget = target.id;
+    request.lastLocalPort = 0;
     // A request that must not run twice uses only a connection that was active a moment ago, usually by a load probe:
     // the target still reads from it.
     auto const policy = request.isIdempotent() ? HTTP::ReusePolicy::Any : HTTP::ReusePolicy::RecentlyUsed;
@@ -126,6 +127,7 @@
         m_pool.discard(connection, false);
         co_return ResponseVerdict::NotRun;
     }
+    request.lastLocalPort = connection->localPort();
     m_state.directory.noteSent(target.id);
     m_state.overload.departments.noteSent(Access::nameOf(request.department), Core::monotonicNow());
     request.sentAt = Core::monotonicNow();
