Services: Send a request only once on each connection

Cause: a target refused the order with 503 and Retry-After; after that time the order went to the same target with the same id on the same connection. A late second copy of the refusal arrived there, had the right id, and was taken for the answer to the second send.

Change: a request remembers the connections that carried it, and ConnectionPool::take() leaves those to other requests. The id is unique on each connection again, so the copy counts as another request's response.

Pool_ConnectionIsExcluded_AnotherOneIsTaken tests the pool.

--- a/Libraries/LibHTTP/ConnectionPool.cpp
+++ b/Libraries/LibHTTP/ConnectionPool.cpp
@@ -17,6 +17,11 @@
     return now - connection.lastResponseAt().value_or(Core::Instant {});
 }
 
+bool contains(WeakConnections const& connections, std::shared_ptr<ClientConnection> const& connection)
+{
+    return std::ranges::any_of(connections, [&](auto const& other) { return other.lock() == connection; });
+}
+
 }
 
 ConnectionPool::ConnectionPool(asio::io_context& context, PoolOptions options)
@@ -58,7 +63,8 @@
     return std::make_shared<ClientConnection>(m_context.get_executor(), endpoint, m_options.limits, m_open);
 }
 
-std::shared_ptr<ClientConnection> ConnectionPool::take(Endpoint const& endpoint, ReusePolicy policy, Core::Instant now)
+std::shared_ptr<ClientConnection> ConnectionPool::take(
+    Endpoint const& endpoint, ReusePolicy policy, Core::Instant now, WeakConnections const& excluded)
 {
     if (policy == ReusePolicy::None)
         return nullptr;
@@ -67,18 +73,21 @@
     if (found == m_entries.end())
         return nullptr;
     auto& entry = found->second;
-    while (!entry.idle.empty()) {
-        auto connection = entry.idle.back();
+    for (auto index = entry.idle.size(); index-- > 0;) {
+        auto connection = entry.idle[index];
+        auto const position = entry.idle.begin() + static_cast<ptrdiff_t>(index);
         if (policy == ReusePolicy::RecentlyUsed && idleTime(*connection, now) > maxRecentIdleTime)
             return nullptr; // The remaining connections have been idle for longer.
         if (isExpired(*connection, now)) {
             connection->close();
-            entry.idle.pop_back();
+            entry.idle.erase(position);
             continue;
         }
         if (entry.newestUnresponsiveOpenedAt && connection->openedAt() <= *entry.newestUnresponsiveOpenedAt)
             return nullptr;
-        entry.idle.pop_back();
+        if (contains(excluded, connection))
+            continue;
+        entry.idle.erase(position);
         if (connection->isOpenWithoutInput())
             return connection;
         connection->close();
--- a/Libraries/LibHTTP/ConnectionPool.h
+++ b/Libraries/LibHTTP/ConnectionPool.h
@@ -8,6 +8,8 @@
 
 namespace Comfreysail::HTTP {
 
+using WeakConnections = std::vector<std::weak_ptr<ClientConnection>>;
+
 /// Which idle connections a request may use.
 enum class ReusePolicy {
     Any,
@@ -39,8 +41,10 @@
 public:
     ConnectionPool(asio::io_context&, PoolOptions);
 
-    /// Removes and returns an idle connection that is open and has received no bytes; nullptr if there is none.
-    std::shared_ptr<ClientConnection> take(Endpoint const&, ReusePolicy, Core::Instant now);
+    /// Removes and returns an idle connection that is open and has received no bytes; nullptr if there is none. Those
+    /// in `excluded` stay in the pool.
+    std::shared_ptr<ClientConnection> take(
+        Endpoint const&, ReusePolicy, Core::Instant now, WeakConnections const& excluded = {});
 
     /// True if there is an idle connection to the endpoint that has not expired. The peer may have closed it.
     bool hasIdle(Endpoint const&, Core::Instant now) const;
--- a/Services/comfreysaild/TargetExchange.cpp
+++ b/Services/comfreysaild/TargetExchange.cpp
@@ -112,7 +112,7 @@
     // A request that must not run twice uses only a connection that was active a moment ago, usually by a load probe:
     // the target still reads from it.
     auto const policy = request.isIdempotent() ? HTTP::ReusePolicy::Any : HTTP::ReusePolicy::RecentlyUsed;
-    auto connection = m_pool.take(endpoint, policy, Core::monotonicNow());
+    auto connection = m_pool.take(endpoint, policy, Core::monotonicNow(), request.usedConnections);
     if (!connection)
         connection = co_await connect(request, endpoint);
     if (!connection || request.stopSignal.reason()) {
@@ -128,6 +128,7 @@
         co_return ResponseVerdict::NotRun;
     }
     request.lastLocalPort = connection->localPort();
+    request.usedConnections.push_back(connection);
     m_state.directory.noteSent(target.id);
     m_state.overload.departments.noteSent(Access::nameOf(request.department), Core::monotonicNow());
     request.sentAt = Core::monotonicNow();
--- a/Tests/LibHTTP/TestConnectionPool.cpp
+++ b/Tests/LibHTTP/TestConnectionPool.cpp
@@ -77,6 +77,23 @@
     connection->close();
 }
 
+// A request that is sent again must not use a connection that carried it before, and leaves it to other requests.
+TEST_CASE_METHOD(PoolFixture, "Pool_ConnectionIsExcluded_AnotherOneIsTaken", "[ConnectionPool]")
+{
+    ScriptedTarget const target(answering(wholeResponse("abc")));
+    auto const older = exchange(target);
+    auto const newer = exchange(target);
+    REQUIRE((older && newer));
+    auto const now = Core::monotonicNow();
+    pool.release(older, now);
+    pool.release(newer, now);
+    CHECK(pool.take(endpointOf(target), ReusePolicy::Any, now, { newer }) == older);
+    CHECK(pool.take(endpointOf(target), ReusePolicy::Any, now, { newer, older }) == nullptr);
+    CHECK(pool.take(endpointOf(target), ReusePolicy::Any, now) == newer);
+    older->close();
+    newer->close();
+}
+
 TEST_CASE_METHOD(PoolFixture, "Pool_UncleanConnection_IsNotReused", "[ConnectionPool]")
 {
     // Reusing any of these connections could give the next caller bytes of another response, or none.
--- a/Tests/comfreysaild/TestEntryLateResponses.cpp
+++ b/Tests/comfreysaild/TestEntryLateResponses.cpp
@@ -130,6 +130,33 @@
         CHECK(other.runs == 0);
 }
 
+// Guards against an order that is answered 503 although it runs: after a refusal with Retry-After it goes to the same
+// target again with the same id, and a late copy of the refusal must not be taken for the response to the second send.
+TEST_CASE_METHOD(EntryFixture, "Entry_LateCopyOfAnOrdersOwnRefusal_IsNotTheResponseToItsNextSend")
+{
+    std::mutex mutex;
+    RawConnection const* refusing = nullptr;
+    std::string refusal;
+    auto& target = addTarget("t1", [&](RawConnection& connection, std::string const& head) {
+        std::lock_guard const lock(mutex);
+        if (!refusing) {
+            refusing = &connection;
+            refusal = shedResponse(idField(head) + "Retry-After: 0.01\r\n");
+            return connection.send(refusal);
+        }
+        if (refusing == &connection)
+            connection.send(refusal);
+        return connection.send(signedResponse(head, "whole"));
+    });
+    StopAtScopeEnd const stop(*this);
+    startDaemon();
+    auto const response = call("POST", "/pay/1", "order");
+    CAPTURE(response.head);
+    CHECK(response.status() == 200);
+    CHECK(response.body == "whole");
+    CHECK(target.runs == 2);
+}
+
 // The same copy in front of the response to a load probe must not be taken for the probe's response, and the probe's
 // response not for that of the next request.
 TEST_CASE_METHOD(EntryFixture, "Entry_LateCopyBeforeALoadProbe_DoesNotAnswerTheProbe")
