Services: Ignore entries of targets that are older than those read before

Cause: the store may apply a write whose response was lost seconds later. A heartbeat that the target had sent before, ready and with a lower sequence, was applied after the report that it drains, and readers of the store took whichever entry was there for the newest one.

Change: decideOnReport() decides which of two reports of a target is newer, by the start of its run and its number within the run. Readers of the store ask it for each entry; an older one leaves the one before it in force, or the target absent if its entry was gone. The numbers are not relayed, so rows change as rarely as before.

--- a/Libraries/LibTraffic/RegisteredTarget.h
+++ b/Libraries/LibTraffic/RegisteredTarget.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Time.h>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace Comfreysail::Traffic {
@@ -23,6 +24,7 @@
     RegistrationState state { RegistrationState::Ready };
     Core::Duration coldLeft {}; ///< Remaining time as a cold target, counted from when the entry was written.
     int64_t startedAt { 0 };    ///< Unix time in ms. Tells a restarted target from its previous run under the same id.
+    std::optional<int64_t> sequence {}; ///< Number of the entry, which rises with each one that this run writes.
 
     bool operator==(RegisteredTarget const&) const = default;
 };
--- a/Libraries/LibTraffic/Traffic.h
+++ b/Libraries/LibTraffic/Traffic.h
@@ -32,6 +32,7 @@
 #include <LibTraffic/TargetLimit.h>
 #include <LibTraffic/TargetLoad.h>
 #include <LibTraffic/TargetPause.h>
+#include <LibTraffic/TargetReport.h>
 #include <LibTraffic/TargetSignals.h>
 #include <LibTraffic/TargetSubset.h>
 #include <LibTraffic/TrafficPlan.h>
--- a/Services/comfreysaild/RowAdopter.cpp
+++ b/Services/comfreysaild/RowAdopter.cpp
@@ -31,24 +31,60 @@
     return m_loggedInvalidRows.emplace(key, revision).second;
 }
 
-Traffic::SharedRows::Table RowAdopter::sharedTable(std::string_view table, std::vector<StoreRow> const& rows)
+Traffic::SharedRows::Table RowAdopter::sharedTable(
+    std::string_view table, std::vector<StoreRow> const& rows, Core::Instant now)
 {
+    if (table == Platform::Table::targets)
+        return sharedTargets(rows, now);
+    Traffic::SharedRows::Table result;
+    for (auto const& row : rows)
+        result.emplace(row.key, sharedText(row));
+    return result;
+}
+
+Traffic::SharedRows::Table RowAdopter::sharedTargets(std::vector<StoreRow> const& rows, Core::Instant now)
+{
+    auto const& inForce = m_state.sharedRows.table(Platform::Table::targets);
     Traffic::SharedRows::Table result;
     for (auto const& row : rows) {
-        if (table != Platform::Table::targets) {
-            result.emplace(row.key, sharedText(row));
-            continue;
-        }
         auto const target = Platform::decodeTarget(row);
         if (isError(target) && isFirstRefusal("target " + row.key, 0))
             Telemetry::EventLine("target_refused").add("reason", errorOf(target).detail).logWarning();
+        if (!isError(target) && !isNewestReport(valueOf(target), now)) {
+            if (auto const kept = inForce.find(row.key); kept != inForce.end())
+                result.insert(*kept);
+            continue;
+        }
         StoreRow normalized;
         normalized.value = isError(target) ? std::string() : Platform::encodeTarget(valueOf(target));
         result.emplace(row.key, sharedText(normalized));
     }
+    std::erase_if(m_reports, [now](auto const& item) { return now - item.second.seenAt > Traffic::maxWriteDelay; });
     return result;
 }
 
+bool RowAdopter::isNewestReport(Traffic::RegisteredTarget const& target, Core::Instant now)
+{
+    auto const found = m_reports.find(target.id);
+    auto const known = found == m_reports.end() ? std::nullopt : std::optional(found->second);
+    auto const report = Traffic::positionOf(target);
+    auto const decision = Traffic::decideOnReport(known, report, now);
+    m_reports.insert_or_assign(target.id, decision.known);
+    bool const isFirstRead = !decision.isUsed && !known->outdatedSince;
+    if (isFirstRead) {
+        m_state.metrics.counter("comfreysail_outdated_target_reports_total").add();
+        Telemetry::EventLine("target_report_outdated")
+            .add("target", target.id)
+            .add("started_at", report.startedAt)
+            .add("sequence", report.sequence.value_or(-1))
+            .add("known_started_at", known->position.startedAt)
+            .add("known_sequence", known->position.sequence.value_or(-1))
+            .add("known_ms_ago", Core::toMilliseconds(now - known->seenAt))
+            .logWarning();
+    }
+    return decision.isUsed;
+}
+
 void RowAdopter::adoptDecisions()
 {
     std::set<std::string, std::less<>> zonesOutOfService;
--- a/Services/comfreysaild/RowAdopter.h
+++ b/Services/comfreysaild/RowAdopter.h
@@ -17,7 +17,9 @@
 
     /// Converts store rows to a table of shared rows. Target rows are normalized: they change only with their content,
     /// so that heartbeats are not distributed to all daemons, and invalid rows become empty.
-    Traffic::SharedRows::Table sharedTable(std::string_view table, std::vector<Platform::StoreRow> const&);
+    /// A target's row that is older than one read before does not count, see Traffic::decideOnReport().
+    Traffic::SharedRows::Table sharedTable(
+        std::string_view table, std::vector<Platform::StoreRow> const&, Core::Instant now);
 
     /// Applies the operators' rows, the results of moves, the verdicts and the crashes.
     void adoptDecisions();
@@ -41,10 +43,14 @@
     void adoptMoveStarts(Core::Instant now);
     void adoptResults();
     bool isFirstRefusal(std::string const& key, uint64_t revision);
+    Traffic::SharedRows::Table sharedTargets(std::vector<Platform::StoreRow> const&, Core::Instant now);
+    /// Returns false if a newer entry of the target was read before.
+    bool isNewestReport(Traffic::RegisteredTarget const&, Core::Instant now);
 
     EntryState& m_state;
     CrashRows m_crashRows;
     std::optional<uint64_t> m_adoptedTargetsVersion; ///< Version of the shared rows whose targets are applied.
+    std::map<std::string, Traffic::KnownReport, std::less<>> m_reports; ///< By id of the target.
     std::map<std::string, uint64_t, std::less<>>
         m_loggedInvalidRows; ///< Revisions of invalid rows that were logged, by key.
 };
--- a/Services/comfreysaild/StoreReader.cpp
+++ b/Services/comfreysaild/StoreReader.cpp
@@ -119,7 +119,7 @@
         co_return false;
     }
     auto const now = Core::monotonicNow();
-    auto used = settle(table, m_adopter.sharedTable(table, *rows), now);
+    auto used = settle(table, m_adopter.sharedTable(table, *rows, now), now);
     // Other daemons end their settling time at another moment, so the digests would differ.
     bool const isSnapshot = m_isLastReadConsistent && !m_restoredTables.contains(table);
     m_state.sharedRows.replaceTable(table, used, m_lastRevision, isSnapshot);
--- a/Tests/Platform/TestDecode.cpp
+++ b/Tests/Platform/TestDecode.cpp
@@ -146,7 +146,7 @@
     REQUIRE_FALSE(isError(decoded));
     CHECK(valueOf(decoded)
         == Traffic::RegisteredTarget { "i-1", "orders", "10.0.0.9", 8080, "z1", "v1", 2,
-            Traffic::RegistrationState::Ready, 1500ms, 1700000000123 });
+            Traffic::RegistrationState::Ready, 1500ms, 1700000000123, 4 });
     auto const draining = decodeTarget(row("i-1", replaced(target, R"("ready")", R"("draining")")));
     CHECK(valueOf(draining).state == Traffic::RegistrationState::Draining);
 }
@@ -166,6 +166,7 @@
         { R"("born":1700000000123)", R"("born":1e300)" },
         { R"("zone":"z1")", R"("zone":null)" },
         { R"("born":1700000000123)", R"("born":"x")" },
+        { R"("sequence":4)", R"("sequence":"4")" },
         { "{", "\xff" },
     }));
     CAPTURE(part, with);
--- a/Tests/comfreysaild/EntryFixture.cpp
+++ b/Tests/comfreysaild/EntryFixture.cpp
@@ -163,12 +163,14 @@
     return *m_targets.back();
 }
 
-void EntryFixture::registerTarget(EntryTarget const& target, std::string const& state, std::string const& version)
+void EntryFixture::registerTarget(
+    EntryTarget const& target, std::string const& state, std::string const& version, int sequence, int startedAt)
 {
     writeRow("servers", target.id,
         R"({"service":"orders","addr":"127.0.0.1:)" + std::to_string(target.server->port())
             + R"(","zone":"pos-hall","version":")" + version + R"(","slots":2,"state":")" + state
-            + R"(","cold-left-s":0,"sequence":1,"born":1})");
+            + R"(","cold-left-s":0,"sequence":)" + std::to_string(sequence) + R"(,"born":)" + std::to_string(startedAt)
+            + "}");
 }
 
 DaemonProcess& EntryFixture::startDaemon(DaemonOptions options)
--- a/Tests/comfreysaild/EntryFixture.h
+++ b/Tests/comfreysaild/EntryFixture.h
@@ -37,7 +37,8 @@
 
     EntryTarget& addTarget(std::string const& id, ScriptedTarget::Script, std::string const& version = "v1");
     /// Overwrites the registry entry of a target, with another state or version.
-    void registerTarget(EntryTarget const&, std::string const& state, std::string const& version = "v1");
+    void registerTarget(EntryTarget const&, std::string const& state, std::string const& version = "v1",
+        int sequence = 1, int startedAt = 1);
     void removeTarget(std::string const& id);
     /// Writes a row with any value into the registry of targets.
     void writeRegistryRow(std::string const& key, std::string const& value) { writeRow("servers", key, value); }
--- a/Tests/comfreysaild/TestEntryState.cpp
+++ b/Tests/comfreysaild/TestEntryState.cpp
@@ -91,6 +91,36 @@
     CHECK(target.runs == 0);
 }
 
+// Guards against a heartbeat that the store applies late, after the target has begun to drain or has left: it would be
+// ready again for all daemons until its next report.
+TEST_CASE_METHOD(EntryFixture, "Entry_HeartbeatIsAppliedAfterTheTargetLeft_TargetGetsNothingUntilItRestarts")
+{
+    bool const drains = GENERATE(true, false);
+    CAPTURE(drains);
+    auto& leaving = addTarget("t1", respondComplete);
+    auto& other = addTarget("t2", respondComplete);
+    other.load = "1,0,16,200"; // Makes the daemon choose the other one while it may.
+    registerTarget(leaving, "ready", "v1", 5);
+    StopAtScopeEnd const stop(*this);
+    startDaemon();
+    auto const isUsed = [&] {
+        auto const runs = leaving.runs.load();
+        CHECK(call("GET", "/read/1").status() == 200);
+        return leaving.runs > runs;
+    };
+    CHECK(isUsed());
+    if (drains)
+        registerTarget(leaving, "draining", "v1", 6);
+    else
+        removeTarget("t1");
+    REQUIRE(eventually([&] { return !isUsed(); }));
+    registerTarget(leaving, "ready", "v1", 4);
+    CHECK_FALSE(eventually(isUsed, 2s));
+    CHECK(daemon().log().find("event=target_report_outdated target=t1 started_at=1 sequence=4") != std::string::npos);
+    registerTarget(leaving, "ready", "v1", 1, 2);
+    CHECK(eventually(isUsed));
+}
+
 TEST_CASE_METHOD(EntryFixture, "Entry_ZoneEvacuationIsCancelled_ServesAgain")
 {
     addTarget("t1", respondComplete);
