LibTraffic: Keep draining targets out of use until they restart

Cause: a daemon that begins to read the registry after a late write has made a draining target ready again knows no newer entry, and all daemons that get its rows would follow it.

Change: a target that was registered as draining stays out of use until its start time changes, as one that said so itself does, also if its entry disappears in between. A target that drains exits afterwards.

TargetDirectory_ReadyAgainAfterDraining_IsNotEligibleUntilItRestarts failed without the rule in both variants.

--- a/Libraries/LibTraffic/TargetDirectory.cpp
+++ b/Libraries/LibTraffic/TargetDirectory.cpp
@@ -70,10 +70,13 @@
     if (target.coldLeft.count() > 0 && (isNew || hasRestarted || record.target.coldLeft != target.coldLeft))
         record.coldUntil = std::max(record.coldUntil, now + target.coldLeft);
     record.target = target;
+    // A target that drains exits afterwards, so a later entry of the same run that says otherwise is an older one.
+    if (target.state == RegistrationState::Draining && target.startedAt != 0)
+        statementOf(target).hasDrained = true;
     auto const statement = m_statements.find(target.id);
     if (statement != m_statements.end() && statement->second.startedAt == target.startedAt) {
         record.saidLeavingAt = statement->second.saidLeavingAt;
-        record.hasLeft = record.hasLeft || record.saidLeavingAt;
+        record.hasLeft = record.hasLeft || record.saidLeavingAt || statement->second.hasDrained;
         if (!record.pause)
             record.pause = statement->second.pause;
     }
--- a/Libraries/LibTraffic/TargetDirectory.h
+++ b/Libraries/LibTraffic/TargetDirectory.h
@@ -126,6 +126,7 @@
     struct Statement {
         int64_t startedAt { 0 };
         std::optional<Core::Instant> saidLeavingAt;
+        bool hasDrained { false }; ///< It was registered as draining.
         std::optional<TargetPause> pause;
     };
 
--- a/Tests/LibTraffic/TestTargetDirectory.cpp
+++ b/Tests/LibTraffic/TestTargetDirectory.cpp
@@ -53,6 +53,22 @@
     CHECK(eligible(1s).empty());
 }
 
+// Guards against a daemon that begins to read the registry after a late write has made a draining target ready again:
+// the others must not follow it.
+TEST_CASE_METHOD(DirectoryFixture, "TargetDirectory_ReadyAgainAfterDraining_IsNotEligibleUntilItRestarts")
+{
+    bool const wasRemoved = GENERATE(false, true);
+    auto draining = target("a");
+    draining.state = RegistrationState::Draining;
+    directory.replaceAll({ draining }, at(0s));
+    if (wasRemoved)
+        directory.replaceAll({}, at(1s));
+    directory.replaceAll({ target("a") }, at(2s));
+    CHECK(eligible(2s).empty());
+    directory.replaceAll({ target("a", 2) }, at(3s));
+    CHECK(eligible(3s) == Ids { "a" });
+}
+
 // Registrations expire while the registry is down and are back within 2 s of its return. Dropping all targets at once
 // would refuse every request; keeping them longer would send requests to targets that left.
 TEST_CASE_METHOD(DirectoryFixture, "TargetDirectory_RegistryReturnsWithoutEntries_KeepsTargetsForAGracePeriod")
