--- a/Services/comfreysaild/EntryState.cpp
+++ b/Services/comfreysaild/EntryState.cpp
@@ -30,8 +30,8 @@
     auto const* const record = state.directory.find(target);
     if (!record)
         return;
-    bool const ended = signals.isLeaving && !record->hasLeft;
-    if (ended) {
+    bool const beginsToLeave = signals.isLeaving && !record->hasLeft;
+    if (beginsToLeave) {
         state.directory.noteLeaving(target, now);
         count("leaving");
         Telemetry::EventLine("target_leaving").add("target", target).add("probe", isProbe).logInfo();
@@ -46,7 +46,7 @@
             .logInfo();
     }
     auto const waiters = state.pauseWaiters.find(record->target.service);
-    if (waiters != state.pauseWaiters.end() && (ended || (signals.retryAfter && !isProbe)))
+    if (waiters != state.pauseWaiters.end() && (beginsToLeave || (signals.retryAfter && !isProbe)))
         waiters->second.wakeAll();
     auto const limitOf = [&] { return record->limit ? record->limit->requestsPerSecond : -1; };
     auto const before = limitOf();
--- a/Services/comfreysaild/EntryState.h
+++ b/Services/comfreysaild/EntryState.h
@@ -86,7 +86,7 @@
     Traffic::ColdTargetRateLimiter coldSends;
     std::map<std::string, Traffic::CallerTimeoutEstimate, std::less<>>
         timeLimits; ///< Estimated timeouts of the callers, by route.
-    std::map<std::string, Traffic::ServiceTimeEstimate, std::less<>> serviceTimes;   ///< By route.
+    std::map<std::string, Traffic::ServiceTimeEstimate, std::less<>> serviceTimes; ///< By route.
     /// Response times of targets that do not report load, by route. They include the time in a target's queue.
     std::map<std::string, Traffic::ServiceTimeEstimate, std::less<>> responseTimes;
     std::map<std::string, Traffic::QueueingEstimate, std::less<>> queueingEstimates; ///< By route.
--- a/Services/comfreysaild/RowAdopter.cpp
+++ b/Services/comfreysaild/RowAdopter.cpp
@@ -70,8 +70,8 @@
     auto const report = Traffic::positionOf(target);
     auto const decision = Traffic::decideOnReport(known, report, now);
     m_reports.insert_or_assign(target.id, decision.known);
-    bool const isFirstRead = !decision.isUsed && !known->outdatedSince;
-    if (isFirstRead) {
+    bool const becameOutdated = !decision.isUsed && !known->outdatedSince;
+    if (becameOutdated) {
         m_state.metrics.counter("comfreysail_outdated_target_reports_total").add();
         Telemetry::EventLine("target_report_outdated")
             .add("target", target.id)
