Services: Try again if a send became allowed while a target was looked for

Cause: a request found no target because the pause allowed no send, and when it was decided whether it waits, a moment later, one was allowed. That was taken for a refusal for another reason, and the request was rejected.

Change: waitForTargets() gets the time at which the search began. If a send became allowed since, or the last pause ended, the request tries again.

--- a/Services/comfreysaild/TargetPauseWait.cpp
+++ b/Services/comfreysaild/TargetPauseWait.cpp
@@ -74,13 +74,16 @@
     return !pauses.empty() && Traffic::sendTime(pauses, ahead) > now;
 }
 
-awaitable<std::optional<bool>> waitForTargets(
-    boost::asio::io_context& context, EntryState& state, EntryRequest& request, std::optional<PausePlace>& place)
+awaitable<std::optional<bool>> waitForTargets(boost::asio::io_context& context, EntryState& state,
+    EntryRequest& request, std::optional<PausePlace>& place, Instant selectionBeganAt)
 {
     auto const now = Core::monotonicNow();
     auto const pauses = pausesOf(state, request, now);
-    if (pauses.empty() || request.stopSignal.reason())
+    if (request.stopSignal.reason())
         co_return std::nullopt;
+    // The last pause may have ended while a target was looked for.
+    if (pauses.empty())
+        co_return pausesOf(state, request, selectionBeganAt).empty() ? std::nullopt : std::optional(true);
     auto& waiters = state.pauseWaiters[request.service];
     auto const paused = pausedRequestOf(state, request, place);
     auto const ahead = waiters.queue.ahead(paused, now);
@@ -92,9 +95,11 @@
         return record && Traffic::isInEffect(record->pause, now);
     };
     bool const hasMoreTargets = std::erase_if(request.triedTargets, isUsableAgain) > 0;
-    // Otherwise a send is allowed, so the targets were left out for another reason.
-    if (decision.until <= now)
-        co_return hasMoreTargets ? std::optional(true) : std::nullopt;
+    // A send that was allowed from the beginning on means that the targets were left out for another reason.
+    if (decision.until <= now) {
+        bool const becameAllowed = Traffic::sendTime(pauses, ahead) > selectionBeganAt;
+        co_return becameAllowed || hasMoreTargets ? std::optional(true) : std::nullopt;
+    }
     bool const waits = decision.action == Traffic::PauseAction::Wait;
     if (!waits || !place) {
         state.metrics
--- a/Services/comfreysaild/TargetPauseWait.h
+++ b/Services/comfreysaild/TargetPauseWait.h
@@ -31,9 +31,10 @@
 bool isBehindOthers(EntryState const&, EntryRequest const&, std::optional<PausePlace> const&, Core::Instant now);
 
 /// If the pauses of its targets are what keeps the request from being sent, decides whether it waits, and waits.
-/// Returns whether it is to be tried again, or std::nullopt if it was refused for another reason.
+/// Returns whether it is to be tried again, or std::nullopt if it was refused for another reason. `selectionBeganAt` is
+/// when the search that found no target began.
 HTTP::awaitable<std::optional<bool>> waitForTargets(
-    boost::asio::io_context&, EntryState&, EntryRequest&, std::optional<PausePlace>&);
+    boost::asio::io_context&, EntryState&, EntryRequest&, std::optional<PausePlace>&, Core::Instant selectionBeganAt);
 
 /// Counts the targets that a refused request could not use because of what they said, by reason. Returns them as
 /// key=value pairs with the age of the oldest statement; empty if there are none.
