Services: Reject requests of paused targets as before

The cause is supposed, not traced: up to 512 requests wait, each is decided about again at every pause, and what was predicted for them is outdated by then.

--- a/Libraries/LibTraffic/PauseDecision.cpp
+++ b/Libraries/LibTraffic/PauseDecision.cpp
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <map>
-#include <tuple>
 
 namespace Comfreysail::Traffic {
 
@@ -13,6 +11,8 @@
 
 namespace {
 
+// A response loses worth step by step beyond an eighth of its latency target.
+constexpr int maxPartOfLatencyTarget = 8;
 // Of a request whose typical work is unknown.
 constexpr Duration minTimeToRun = 20ms;
 constexpr int maxPartOfTimeLeft = 3;
@@ -20,8 +20,6 @@
 constexpr Duration minSpread = 50ms;
 // A longer queue would be told times beyond the time limits of its clients.
 constexpr size_t maxReturns = 1024;
-// Each waiting request holds its client's connection and its body. A VM has 2,870 descriptors at least.
-constexpr size_t maxWaiting = 512;
 
 Duration part(Duration duration, double factor)
 {
@@ -30,65 +28,27 @@
 
 }
 
-bool canBeServed(PausedRequest const& request, Instant sentAt)
-{
-    return sentAt + std::max(request.typicalWork, minTimeToRun) <= request.deadline;
-}
-
-bool canBeInTime(PausedRequest const& request, Instant sentAt)
-{
-    auto const end = sentAt + std::max(request.typicalWork, minTimeToRun);
-    return request.latencyTarget.count() > 0 ? end <= request.arrivedAt + request.latencyTarget
-                                             : end <= request.deadline;
-}
-
-bool isSentBefore(PausedRequest const& first, PausedRequest const& second, Instant now)
-{
-    if (first.rank != second.rank)
-        return first.rank < second.rank;
-    auto const isFirstInTime = canBeInTime(first, now);
-    if (isFirstInTime != canBeInTime(second, now))
-        return isFirstInTime;
-    return std::tie(first.deadline, first.number) < std::tie(second.deadline, second.number);
-}
-
 std::string_view pauseActionName(PauseAction action)
 {
-    constexpr std::array<std::string_view, 3> names { "wait", "deadline", "room" };
+    constexpr std::array<std::string_view, 3> names { "wait", "deadline", "latency" };
     return names.at(static_cast<size_t>(action));
 }
 
 PauseDecision decideOnPause(
-    PausedRequest const& request, std::span<TargetPause const> pauses, size_t ahead, bool hasRoom, Instant now)
+    PausedRequest const& request, std::span<TargetPause const> pauses, size_t ahead, Instant now)
 {
     PauseDecision decision { PauseAction::Wait, std::max(sendTime(pauses, ahead), now) };
-    if (!canBeServed(request, decision.until))
+    if (decision.until + std::max(request.typicalWork, minTimeToRun) > request.deadline)
         decision.action = PauseAction::RefuseForDeadline;
-    else if (!hasRoom)
-        decision.action = PauseAction::RefuseForRoom;
+    else if (request.latencyTarget.count() > 0
+        && decision.until - request.arrivedAt > request.latencyTarget / maxPartOfLatencyTarget)
+        decision.action = PauseAction::RefuseForLatency;
     return decision;
 }
 
-size_t PauseQueue::ahead(PausedRequest const& request, Instant now) const
-{
-    return static_cast<size_t>(
-        std::ranges::count_if(waiting, [&](auto const& other) { return isSentBefore(other, request, now); }));
-}
-
-size_t PauseQueue::aheadOfNextReturn(Instant now) const
-{
-    return waiting.size() + static_cast<size_t>(std::ranges::count_if(returns, [now](Instant at) { return at > now; }));
-}
-
-bool PauseQueue::hasRoom(PausedRequest const& request) const
+size_t PauseQueue::ahead(Instant now) const
 {
-    if (waiting.size() >= maxWaiting)
-        return false;
-    std::map<std::string_view, size_t> departments;
-    for (auto const& other : waiting)
-        ++departments[other.department];
-    auto const own = departments[request.department];
-    return request.department.empty() || own < maxWaiting / (departments.size() + 1);
+    return waiting + static_cast<size_t>(std::ranges::count_if(returns, [now](Instant at) { return at > now; }));
 }
 
 void PauseQueue::noteReturn(Instant at, Instant now)
--- a/Libraries/LibTraffic/PauseDecision.h
+++ b/Libraries/LibTraffic/PauseDecision.h
@@ -4,43 +4,26 @@
 #include <LibTraffic/TargetPause.h>
 #include <cstdint>
 #include <deque>
-#include <limits>
 #include <optional>
 #include <span>
-#include <string>
 #include <string_view>
-#include <vector>
 
 namespace Comfreysail::Traffic {
 
-/// A request of a service whose targets allow no send, or none yet.
+/// A request of a service all of whose targets want no requests now.
 struct PausedRequest {
-    uint64_t number { std::numeric_limits<uint64_t>::max() }; ///< Its place among equals; the highest one if it is new.
-    unsigned rank { 0 };                                      ///< 0 is most urgent.
     Core::Instant arrivedAt {};
     Core::Instant deadline {};
     Core::Duration latencyTarget {}; ///< Zero if unknown.
     Core::Duration typicalWork {};   ///< Zero if unknown.
-    std::string department {};       ///< Empty if it has none.
 
     bool operator==(PausedRequest const&) const = default;
 };
 
-/// Returns true if a response to the request can still arrive before its deadline if it is sent at `sentAt`.
-bool canBeServed(PausedRequest const&, Core::Instant sentAt);
-
-/// Returns true if a response to the request can still arrive within its latency target if it is sent at `sentAt`. A
-/// request without a latency target is in time until its deadline.
-bool canBeInTime(PausedRequest const&, Core::Instant sentAt);
-
-/// Returns true if `first` is sent before `second`: the more urgent one, then one that can still be in time before one
-/// that cannot, then the one whose deadline comes first.
-bool isSentBefore(PausedRequest const& first, PausedRequest const& second, Core::Instant now);
-
 enum class PauseAction : uint8_t {
     Wait,
     RefuseForDeadline, ///< It could be sent only when too little time is left to serve it.
-    RefuseForRoom,     ///< Too many requests wait, or too many of its department.
+    RefuseForLatency,  ///< Waiting would take too much of its latency target.
 };
 
 std::string_view pauseActionName(PauseAction);
@@ -52,24 +35,17 @@
     bool operator==(PauseDecision const&) const = default;
 };
 
-/// Decides whether the request waits until it can be sent. A request that can be served before its deadline waits,
-/// since a refusal would serve it later or not at all. `pauses` must not be empty; `ahead` is the number of requests
-/// that are sent before it.
-PauseDecision decideOnPause(
-    PausedRequest const&, std::span<TargetPause const> pauses, size_t ahead, bool hasRoom, Core::Instant now);
+/// Decides whether the request waits until it can be sent. `pauses` must not be empty; `ahead` is the number of
+/// requests that are sent before it.
+PauseDecision decideOnPause(PausedRequest const&, std::span<TargetPause const> pauses, size_t ahead, Core::Instant now);
 
-/// The requests of a service that are going to use the next sends that its targets allow.
+/// The requests of a service that are going to use the first sends after the pauses of its targets.
 struct PauseQueue {
-    std::vector<PausedRequest> waiting; ///< In this daemon, in no order.
-    std::deque<Core::Instant> returns;  ///< Times at which refused clients were told to come back.
+    size_t waiting { 0 };              ///< Requests that wait in this daemon.
+    std::deque<Core::Instant> returns; ///< Times at which refused clients were told to come back.
 
-    /// Returns the number of waiting requests that are sent before this one.
-    size_t ahead(PausedRequest const&, Core::Instant now) const;
-    /// Returns the number of requests and clients that are sent before the next client that is refused now.
-    size_t aheadOfNextReturn(Core::Instant now) const;
-    /// Returns whether the request may wait. Each of the waiting departments, and one more, has an equal part of the
-    /// room.
-    bool hasRoom(PausedRequest const&) const;
+    /// Returns the number of requests that are sent before the next one.
+    size_t ahead(Core::Instant now) const;
     void noteReturn(Core::Instant at, Core::Instant now);
 };
 
--- a/Libraries/LibTraffic/TargetDirectory.cpp
+++ b/Libraries/LibTraffic/TargetDirectory.cpp
@@ -179,7 +179,7 @@
     for (auto const& [rankAndId, record] : ranked->second) {
         if (!isInService(*record, version, zonesOutOfService, now))
             continue;
-        if (isInEffect(record->pause, now)) {
+        if (!isSendAllowed(record->pause, now)) {
             if (result.size() == m_options.maxTargetsPerDaemon)
                 continue;
             result.push_back(*record->pause);
--- a/Libraries/LibTraffic/TargetDirectory.h
+++ b/Libraries/LibTraffic/TargetDirectory.h
@@ -104,9 +104,9 @@
     /// `uniform` in [0, 1) is random. Ignored if the time is zero, or ends before an earlier one.
     void notePause(std::string_view id, Core::Duration stated, Core::Duration typicalWork, size_t daemons,
         double uniform, Core::Instant now);
-    /// Returns the pauses that limit the sends to a service's targets, as far as this daemon uses the targets. Returns
-    /// none if a target can be used without regard to a pause. A target that is ejected or whose limit allows no
-    /// request does not count.
+    /// Returns the pauses of a service's targets that allow no request now, as far as this daemon uses the targets, if
+    /// no target can be used until one of them ends. Otherwise returns none. A target that is ejected or whose limit
+    /// allows no request does not count.
     std::vector<TargetPause> pausesOf(std::string_view service, std::optional<std::string_view> version,
         std::set<std::string, std::less<>> const& zonesOutOfService, Core::Instant now) const;
     /// Returns when the first target of a service that is out of use for some time can be used again: because it
--- a/Libraries/LibTraffic/TargetPause.cpp
+++ b/Libraries/LibTraffic/TargetPause.cpp
@@ -18,7 +18,7 @@
 constexpr int returnTimePerSpreadOfEnds = 4;
 // Part of the full rate right after the pause. A lower one leaves the target of a few daemons idle for longer, as each
 // of them waits for its first send.
-constexpr double firstFraction = 0.5;
+constexpr double firstFraction = 0.25;
 constexpr Duration assumedWork = std::chrono::milliseconds(200);
 
 double secondsOf(Duration duration) { return static_cast<double>(duration.count()) / microsecondsPerSecond; }
@@ -58,10 +58,7 @@
 /// When the rising rate allows the send with this number, counted from zero.
 Instant risingTimeOfSend(TargetPause const& pause, double number)
 {
-    if (number < pause.burst)
-        return pause.until;
-    return pause.until
-        + timeAfterEnd(pause, (number - pause.burst + pause.phase) / (pause.fullRate * pause.partOfRate));
+    return pause.until + timeAfterEnd(pause, (number + pause.phase) / (pause.fullRate * pause.partOfRate));
 }
 
 /// The number of sends that the rising rate allows until then, including those that were made.
@@ -70,11 +67,11 @@
     if (time < pause.until)
         return 0;
     auto const rated = fullRateTime(pause, time - pause.until) * pause.fullRate * pause.partOfRate;
-    auto const sends = pause.burst + std::max(std::floor(rated - pause.phase) + 1, 0.0);
+    auto const sends = std::max(std::floor(rated - pause.phase) + 1, 0.0);
     // The times of sends are rounded up to whole microseconds, and the square root is not exact.
     if (risingTimeOfSend(pause, sends) <= time)
         return sends + 1;
-    return sends > pause.burst && risingTimeOfSend(pause, sends - 1) > time ? sends - 1 : sends;
+    return sends > 0 && risingTimeOfSend(pause, sends - 1) > time ? sends - 1 : sends;
 }
 
 double sendsUntil(TargetPause const& pause, Instant time)
@@ -110,12 +107,9 @@
     pause.fullRate = std::max(target.slots, 1U) / secondsOf(work);
     pause.partOfRate = 1 / divisor;
     pause.phase = uniform * (1 - 1 / divisor);
-    pause.burst = static_cast<unsigned>(std::max(std::max(target.slots, 1U) / divisor - 1, 0.0));
     return pause;
 }
 
-bool isInEffect(std::optional<TargetPause> const& pause, Instant now) { return pause && now < endOfReturn(*pause); }
-
 bool isPaused(std::optional<TargetPause> const& pause, Instant now) { return pause && now < pause->until; }
 
 bool isSendAllowed(std::optional<TargetPause> const& pause, Instant now)
--- a/Libraries/LibTraffic/TargetPause.h
+++ b/Libraries/LibTraffic/TargetPause.h
@@ -17,7 +17,6 @@
     double fullRate { 0 };        ///< Requests per second that the target starts at full load.
     double partOfRate { 1 };      ///< This daemon's part of it.
     double phase { 0 };           ///< Part of the time of one send by which the first one is delayed, in [0, 1).
-    unsigned burst { 0 };         ///< Sends besides the first that are allowed at `until`, as they find free slots.
     unsigned sends { 0 };         ///< Sends after `until` that were made, or forgone.
 
     bool operator==(TargetPause const&) const = default;
@@ -34,9 +33,6 @@
 /// once after the pause.
 TargetPause makePause(Core::Duration stated, PausedTarget const&, double uniform, Core::Instant now);
 
-/// Returns true until the sends of this daemon are not limited any more.
-bool isInEffect(std::optional<TargetPause> const&, Core::Instant now);
-
 /// Returns true during the time that the target stated.
 bool isPaused(std::optional<TargetPause> const&, Core::Instant now);
 
--- a/Services/comfreysaild/EntryHandler.cpp
+++ b/Services/comfreysaild/EntryHandler.cpp
@@ -270,12 +270,8 @@
     case ResponseVerdict::OtherTarget:
         directory.noteFault(target.id, Traffic::TargetFault::OtherTarget, now);
         break;
-    case ResponseVerdict::NotRun:
-        // A target that says when it can be used again is not used until then.
-        if (request.wasTimeStated)
-            break;
-        [[fallthrough]];
     case ResponseVerdict::Failed:
+    case ResponseVerdict::NotRun:
         directory.noteFault(target.id, Traffic::TargetFault::FailedRequest, now);
         break;
     case ResponseVerdict::Foreign:
--- a/Services/comfreysaild/EntryRequest.h
+++ b/Services/comfreysaild/EntryRequest.h
@@ -57,7 +57,6 @@
     bool isLastTargetInOwnZone { false }; ///< The last target is in this daemon's availability zone.
     bool wasConnectionLost { false };     ///< The last send lost its connection before a response.
     bool wasResponseCutOff { false };     ///< The last send lost its connection after the response had begun.
-    bool wasTimeStated { false };         ///< The last send was refused until a time that the target stated.
     bool wasConnectRefusedHere { false }; ///< The last send found no room for a connection in this process.
     bool mayHaveRun { false };            ///< A target may have executed the request.
     /// Set after a lost connection: whether a target answered a later send. Outlives the request.
--- a/Services/comfreysaild/EntryState.cpp
+++ b/Services/comfreysaild/EntryState.cpp
@@ -30,8 +30,7 @@
     auto const* const record = state.directory.find(target);
     if (!record)
         return;
-    bool const beginsToLeave = signals.isLeaving && !record->hasLeft;
-    if (beginsToLeave) {
+    if (signals.isLeaving && !record->hasLeft) {
         state.directory.noteLeaving(target, now);
         count("leaving");
         Telemetry::EventLine("target_leaving").add("target", target).add("probe", isProbe).logInfo();
@@ -45,9 +44,6 @@
             .add("ms", std::chrono::duration_cast<std::chrono::milliseconds>(*signals.retryAfter).count())
             .logInfo();
     }
-    auto const waiters = state.pauseWaiters.find(record->target.service);
-    if (waiters != state.pauseWaiters.end() && (beginsToLeave || (signals.retryAfter && !isProbe)))
-        waiters->second.wakeAll();
     auto const limitOf = [&] { return record->limit ? record->limit->requestsPerSecond : -1; };
     auto const before = limitOf();
     state.directory.noteLimit(target, signals.requestsPerSecond, isProbe, sentAt, daemons, uniform(), now);
@@ -64,11 +60,8 @@
 
 Core::Duration typicalWorkOf(EntryState const& state, std::string const& route)
 {
-    auto const known = state.serviceTimes.find(route);
-    if (known != state.serviceTimes.end() && known->second.typical().count() > 0)
-        return known->second.typical();
-    auto const found = state.responseTimes.find(route);
-    return found == state.responseTimes.end() ? Core::Duration {} : found->second.typical();
+    auto const found = state.serviceTimes.find(route);
+    return found == state.serviceTimes.end() ? Core::Duration {} : found->second.typical();
 }
 
 void endMove(std::string const& service, MoveInProgress& progress, MoveState state)
--- a/Services/comfreysaild/EntryState.h
+++ b/Services/comfreysaild/EntryState.h
@@ -28,19 +28,6 @@
     Traffic::MoveEvidence evidence;  ///< Observed by this daemon.
 };
 
-/// The requests of a service that wait until one of its targets allows a send.
-struct PauseWaiters {
-    Traffic::PauseQueue queue;
-    std::map<uint64_t, std::function<void()>> wakeUps; ///< Ends the wait of a request, by its number.
-
-    /// Lets all requests be decided about again, after a change of what decides.
-    void wakeAll() const
-    {
-        for (auto const& [number, wakeUp] : wakeUps)
-            wakeUp();
-    }
-};
-
 /// What an entry daemon knows about the system. Not thread safe: the daemon runs on one thread.
 struct EntryState {
     static constexpr size_t defaultRequestsAtTargets = 10'000;
@@ -72,8 +59,7 @@
     Traffic::EvidenceLedger::Origin evidenceOrigin { std::random_device {}() };
     std::map<std::string, uint64_t, std::less<>> verdicts; ///< Revision of the move order judged bad, by service.
     Traffic::TargetDirectory directory;
-    std::map<std::string, PauseWaiters, std::less<>> pauseWaiters; ///< By service.
-    uint64_t pausedRequests { 0 };                                 ///< Number of requests that have waited for a pause.
+    std::map<std::string, Traffic::PauseQueue, std::less<>> pauseQueues; ///< By service.
     Traffic::PauseDetector pauses;
     bool hasReadTargets { false };
     Traffic::BodyBudget bodies;          ///< Memory for the bodies of callers' requests.
@@ -86,9 +72,7 @@
     Traffic::ColdTargetRateLimiter coldSends;
     std::map<std::string, Traffic::CallerTimeoutEstimate, std::less<>>
         timeLimits; ///< Estimated timeouts of the callers, by route.
-    std::map<std::string, Traffic::ServiceTimeEstimate, std::less<>> serviceTimes; ///< By route.
-    /// Response times of targets that do not report load, by route. They include the time in a target's queue.
-    std::map<std::string, Traffic::ServiceTimeEstimate, std::less<>> responseTimes;
+    std::map<std::string, Traffic::ServiceTimeEstimate, std::less<>> serviceTimes;   ///< By route.
     std::map<std::string, Traffic::QueueingEstimate, std::less<>> queueingEstimates; ///< By route.
     std::map<std::string, Traffic::RequestRateEstimate, std::less<>> requestRates;   ///< By service.
     bool usesTargetSubset { false }; ///< Each daemon prefers a subset of the targets, if there are many daemons.
--- a/Services/comfreysaild/OverloadInput.cpp
+++ b/Services/comfreysaild/OverloadInput.cpp
@@ -85,8 +85,6 @@
 
 void noteServiceTime(EntryState& state, EntryRequest const& request, Duration time)
 {
-    if (request.expectedCost <= 0)
-        state.responseTimes[request.route->name].note(time, 1);
     state.serviceTimes[request.route->name].note(time, request.expectedCost);
     state.overload.workEstimates[request.route->name].note(time, request.expectedCost);
 }
--- a/Services/comfreysaild/ResponseSender.cpp
+++ b/Services/comfreysaild/ResponseSender.cpp
@@ -208,8 +208,8 @@
 {
     auto const timeLeft = request.callerDeadline ? std::optional(*request.callerDeadline - now) : std::nullopt;
     if (auto const pauses = pausesOf(m_state, request, now); !pauses.empty()) {
-        auto& queue = m_state.pauseWaiters[request.service].queue;
-        auto const advice = Traffic::adviseReturn(pauses, queue.aheadOfNextReturn(now), timeLeft, uniform(), now);
+        auto& queue = m_state.pauseQueues[request.service];
+        auto const advice = Traffic::adviseReturn(pauses, queue.ahead(now), timeLeft, uniform(), now);
         if (advice.hasPlace)
             queue.noteReturn(now + advice.after, now);
         return advice.after;
--- a/Services/comfreysaild/RowAdopter.cpp
+++ b/Services/comfreysaild/RowAdopter.cpp
@@ -329,11 +329,6 @@
     }
     m_adoptedTargetsVersion = rows.version();
     m_state.hasReadTargets = true;
-    if (changed.empty() && removed.empty())
-        return;
-    // The target that a request waits for may have left, or another one come.
-    for (auto const& [service, waiters] : m_state.pauseWaiters)
-        waiters.wakeAll();
 }
 
 }
--- a/Services/comfreysaild/TargetExchange.cpp
+++ b/Services/comfreysaild/TargetExchange.cpp
@@ -106,7 +106,6 @@
     request.wasConnectionLost = false;
     request.wasResponseCutOff = false;
     request.wasConnectRefusedHere = false;
-    request.wasTimeStated = false;
     request.sentAt = {};
     request.lastTarget = target.id;
     request.lastLocalPort = 0;
@@ -210,13 +209,12 @@
     co_return ResponseVerdict::Invalid;
 }
 
-void TargetExchange::noteTargetSignals(EntryRequest& request, RegisteredTarget const& target)
+void TargetExchange::noteTargetSignals(EntryRequest const& request, RegisteredTarget const& target)
 {
     constexpr unsigned unavailable = 503;
     auto signals = Platform::decodeTargetSignals(request.response->fields);
     if (request.response->status != unavailable)
         signals.retryAfter.reset();
-    request.wasTimeStated = signals.retryAfter.has_value();
     noteSignals(m_state, target.id, signals, false, request.sentAt, Core::monotonicNow(),
         typicalWorkOf(m_state, request.route->name));
 }
--- a/Services/comfreysaild/TargetExchange.h
+++ b/Services/comfreysaild/TargetExchange.h
@@ -19,7 +19,7 @@
         EntryRequest&, Traffic::RegisteredTarget const&, std::shared_ptr<HTTP::ClientConnection> const&);
     /// Reads the body into the request. True if it is complete or too large to buffer; in the latter case
     /// `streamingConnection` of the request is set.
-    void noteTargetSignals(EntryRequest&, Traffic::RegisteredTarget const&);
+    void noteTargetSignals(EntryRequest const&, Traffic::RegisteredTarget const&);
     HTTP::awaitable<bool> readBody(EntryRequest&, HTTP::ClientConnection&);
 
     HTTP::ConnectionPool& m_pool;
--- a/Services/comfreysaild/TargetPauseWait.cpp
+++ b/Services/comfreysaild/TargetPauseWait.cpp
@@ -9,34 +9,22 @@
 
 namespace {
 
-Traffic::PausedRequest pausedRequestOf(
-    EntryState const& state, EntryRequest const& request, std::optional<PausePlace> const& place)
-{
-    Traffic::PausedRequest paused;
-    if (place)
-        paused.number = place->number();
-    paused.rank = request.rank;
-    paused.arrivedAt = request.arrivedAt;
-    paused.deadline = request.deadline;
-    paused.latencyTarget = request.route->latencyTarget;
-    paused.typicalWork = typicalWorkOf(state, request.route->name);
-    paused.department = Access::nameOf(request.department);
-    return paused;
-}
-
-}
+/// Counts a request as waiting while it is in scope.
+class QueuePlace {
+public:
+    QueuePlace(EntryState& state, std::string const& service)
+        : m_queue(state.pauseQueues[service])
+    {
+        ++m_queue.waiting;
+    }
+    ~QueuePlace() { --m_queue.waiting; }
+    QueuePlace(QueuePlace const&) = delete;
+    QueuePlace& operator=(QueuePlace const&) = delete;
 
-PausePlace::PausePlace(EntryState& state, std::string const& service, Traffic::PausedRequest const& request)
-    : m_waiters(state.pauseWaiters[service])
-    , m_number(++state.pausedRequests)
-{
-    m_waiters.queue.waiting.push_back(request);
-    m_waiters.queue.waiting.back().number = m_number;
-}
+private:
+    Traffic::PauseQueue& m_queue;
+};
 
-PausePlace::~PausePlace()
-{
-    std::erase_if(m_waiters.queue.waiting, [this](auto const& request) { return request.number == m_number; });
 }
 
 std::vector<Traffic::TargetPause> pausesOf(EntryState const& state, EntryRequest const& request, Instant now)
@@ -63,77 +51,44 @@
     return text + "oldest_said_ms_ago=" + std::to_string(Core::toMilliseconds(now - excluded.oldestAt));
 }
 
-bool isBehindOthers(
-    EntryState const& state, EntryRequest const& request, std::optional<PausePlace> const& place, Instant now)
-{
-    auto const waiters = state.pauseWaiters.find(request.service);
-    if (waiters == state.pauseWaiters.end() || waiters->second.queue.waiting.empty())
-        return false;
-    auto const ahead = waiters->second.queue.ahead(pausedRequestOf(state, request, place), now);
-    auto const pauses = ahead > 0 ? pausesOf(state, request, now) : std::vector<Traffic::TargetPause> {};
-    return !pauses.empty() && Traffic::sendTime(pauses, ahead) > now;
-}
-
-awaitable<std::optional<bool>> waitForTargets(boost::asio::io_context& context, EntryState& state,
-    EntryRequest& request, std::optional<PausePlace>& place, Instant selectionBeganAt)
+awaitable<std::optional<bool>> waitForTargets(
+    boost::asio::io_context& context, EntryState& state, EntryRequest& request)
 {
     auto const now = Core::monotonicNow();
     auto const pauses = pausesOf(state, request, now);
-    if (request.stopSignal.reason())
+    if (pauses.empty() || request.stopSignal.reason())
         co_return std::nullopt;
-    // The last pause may have ended while a target was looked for.
-    if (pauses.empty())
-        co_return pausesOf(state, request, selectionBeganAt).empty() ? std::nullopt : std::optional(true);
-    auto& waiters = state.pauseWaiters[request.service];
-    auto const paused = pausedRequestOf(state, request, place);
-    auto const ahead = waiters.queue.ahead(paused, now);
-    bool const hasRoom = place || waiters.queue.hasRoom(paused);
-    auto const decision = Traffic::decideOnPause(paused, pauses, ahead, hasRoom, now);
+    auto const& route = *request.route;
+    Traffic::PausedRequest const paused { request.arrivedAt, request.deadline, route.latencyTarget,
+        typicalWorkOf(state, route.name) };
+    auto const decision = Traffic::decideOnPause(paused, pauses, state.pauseQueues[request.service].ahead(now), now);
+    state.metrics
+        .counter("comfreysail_target_pause_decisions_total",
+            { { "decision", std::string(Traffic::pauseActionName(decision.action)) } })
+        .add();
+    auto const firstSaid = std::ranges::min_element(pauses, {}, &Traffic::TargetPause::toldAt)->toldAt;
+    Telemetry::EventLine("targets_paused")
+        .add("request_id", request.requestId)
+        .add("service", request.service)
+        .add("decision", Traffic::pauseActionName(decision.action))
+        .add("targets", pauses.size())
+        .add("first_said_ms_ago", Core::toMilliseconds(now - firstSaid))
+        .add("sendable_in_ms", Core::toMilliseconds(decision.until - now))
+        .logInfo();
+    if (decision.action != Traffic::PauseAction::Wait)
+        co_return false;
     // A target that refused this request because of its pause may get it afterwards.
-    auto const isUsableAgain = [&](std::string const& id) {
+    std::erase_if(request.triedTargets, [&](std::string const& id) {
         auto const* const record = state.directory.find(id);
-        return record && Traffic::isInEffect(record->pause, now);
-    };
-    bool const hasMoreTargets = std::erase_if(request.triedTargets, isUsableAgain) > 0;
-    // A send that was allowed from the beginning on means that the targets were left out for another reason.
-    if (decision.until <= now) {
-        bool const becameAllowed = Traffic::sendTime(pauses, ahead) > selectionBeganAt;
-        co_return becameAllowed || hasMoreTargets ? std::optional(true) : std::nullopt;
-    }
-    bool const waits = decision.action == Traffic::PauseAction::Wait;
-    if (!waits || !place) {
-        state.metrics
-            .counter("comfreysail_target_pause_decisions_total",
-                { { "decision", std::string(Traffic::pauseActionName(decision.action)) } })
-            .add();
-        auto const firstSaid = std::ranges::min_element(pauses, {}, &Traffic::TargetPause::toldAt)->toldAt;
-        Telemetry::EventLine("targets_paused")
-            .add("request_id", request.requestId)
-            .add("service", request.service)
-            .add("decision", Traffic::pauseActionName(decision.action))
-            .add("targets", pauses.size())
-            .add("first_said_ms_ago", Core::toMilliseconds(now - firstSaid))
-            .add("sendable_in_ms", Core::toMilliseconds(decision.until - now))
-            .add("left_ms", Core::toMilliseconds(request.deadline - now))
-            .add("in_time", Traffic::canBeInTime(paused, decision.until))
-            .add("ahead", ahead)
-            .add("waiting", waiters.queue.waiting.size())
-            .logInfo();
-    }
-    if (!waits)
-        co_return false;
-    if (!place)
-        place.emplace(state, request.service, paused);
-    boost::asio::steady_timer timer(context, decision.until);
-    auto const wakeUp = [&timer] { timer.cancel(); };
-    waiters.wakeUps.emplace(place->number(), wakeUp);
+        return record && !Traffic::isSendAllowed(record->pause, now);
+    });
     {
-        StopSignal::Scope const scope(request.stopSignal, wakeUp);
+        QueuePlace const place(state, request.service);
+        boost::asio::steady_timer timer(context, decision.until);
+        StopSignal::Scope const scope(request.stopSignal, [&timer] { timer.cancel(); });
         co_await timer.async_wait(HTTP::useTuple);
     }
-    waiters.wakeUps.erase(place->number());
-    // The timer may fire late.
-    co_return !request.stopSignal.reason() && Traffic::canBeServed(paused, Core::monotonicNow());
+    co_return !request.stopSignal.reason();
 }
 
 }
--- a/Services/comfreysaild/TargetSelector.cpp
+++ b/Services/comfreysaild/TargetSelector.cpp
@@ -88,16 +88,12 @@
 {
     if (request.sends == 0)
         noteArrival(m_state, request, Core::monotonicNow());
-    std::optional<PausePlace> place;
     while (true) {
         request.pausesAtSelection = m_state.pauses.noteTick(Core::suspendAwareNow());
         co_await waitForFreshRows(request);
-        auto const beganAt = Core::monotonicNow();
-        Result<RegisteredTarget> selected = Error { ErrorKind::NoTargetAvailable, "other requests are sent first" };
-        if (!isBehindOthers(m_state, request, place, beganAt))
-            selected = co_await selectOnce(request);
+        auto selected = co_await selectOnce(request);
         if (isError(selected) && errorOf(selected).kind == ErrorKind::NoTargetAvailable) {
-            auto const hasWaited = co_await waitForTargets(m_context, m_state, request, place, beganAt);
+            auto const hasWaited = co_await waitForTargets(m_context, m_state, request);
             bool const mayTryAgain = hasWaited ? *hasWaited : co_await holdIfShort(request);
             if (mayTryAgain)
                 continue;
