LibHTTP: Let a connection carry each request id only once

Callers saw: a client that sent a refused order again under the same id could get the late copy of the first refusal as its answer, while the order ran.

Cause: the request remembered its connections, but the second request of the client is another one and took the same connection.

Change: the connection remembers the ids that it has carried, and the pool leaves it to requests with other ids. After 256 ids it is replaced.

--- a/Libraries/LibHTTP/ClientConnection.cpp
+++ b/Libraries/LibHTTP/ClientConnection.cpp
@@ -1,6 +1,7 @@
 #include <LibHTTP/ClientConnection.h>
 
 #include <LibHTTP/KeepAlive.h>
+#include <algorithm>
 #include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -22,6 +23,8 @@
 // flight, so sending them before reading cannot block.
 constexpr size_t maxInlineSendBytes = 16 * 1024;
 constexpr size_t bodyBufferSize = 64 * 1024;
+// A connection that has carried so many ids is replaced, which bounds their memory at 2 KiB.
+constexpr size_t maxRequestIds = 256;
 
 bool isLocalError(ErrorCode const& error)
 {
@@ -181,10 +184,15 @@
     leaveCount();
 }
 
+bool ClientConnection::hasCarried(uint64_t requestIdHash) const
+{
+    return std::ranges::find(m_requestIds, requestIdHash) != m_requestIds.end();
+}
+
 bool ClientConnection::isReusable() const
 {
-    return m_targetKeepsAlive && !m_isClosed && !m_isSending && m_reader && m_reader->isFinished()
-        && m_stream.received.isEmpty();
+    return m_requestIds.size() < maxRequestIds && m_targetKeepsAlive && !m_isClosed && !m_isSending && m_reader
+        && m_reader->isFinished() && m_stream.received.isEmpty();
 }
 
 }
--- a/Libraries/LibHTTP/ClientConnection.h
+++ b/Libraries/LibHTTP/ClientConnection.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <vector>
 
 namespace Comfreysail::HTTP {
 
@@ -64,7 +65,8 @@
     bool isSending() const { return m_isSending; }
     bool hasBufferedBody() const { return !m_stream.received.isEmpty(); }
 
-    /// True if the response was read completely, no bytes follow it and the target keeps the connection open.
+    /// True if the response was read completely, no bytes follow it, the target keeps the connection open, and there is
+    /// room for the ids of further requests.
     bool isReusable() const;
 
     /// True if the idle connection is open and has received no bytes.
@@ -80,6 +82,11 @@
     /// True if connect() failed because nothing listens at the endpoint.
     bool wasRefused() const { return m_wasRefused; }
 
+    /// Notes the hash of the id of a request that is going to be sent. Only the id tells a response from a late copy of
+    /// an earlier one, so a connection must not carry the same id twice.
+    void noteRequestId(uint64_t hash) { m_requestIds.push_back(hash); }
+    bool hasCarried(uint64_t requestIdHash) const;
+
     Core::Instant openedAt() const { return m_openedAt; }
     /// The local port, which identifies the connection in logs and captures of the peer; 0 until it is connected.
     uint16_t localPort() const { return m_localPort; }
@@ -102,6 +109,7 @@
     bool m_wasRefused { false };
     Core::Instant m_openedAt {};
     uint16_t m_localPort { 0 };
+    std::vector<uint64_t> m_requestIds; ///< Hashes.
     std::optional<Core::Instant> m_lastResponseAt;
     std::optional<Core::Duration> m_announcedIdleTimeout;
     std::shared_ptr<asio::steady_timer> m_senderDone; ///< Never expires; cancelled when the body sender ends.
--- a/Libraries/LibHTTP/ConnectionPool.cpp
+++ b/Libraries/LibHTTP/ConnectionPool.cpp
@@ -17,11 +17,6 @@
     return now - connection.lastResponseAt().value_or(Core::Instant {});
 }
 
-bool contains(WeakConnections const& connections, std::shared_ptr<ClientConnection> const& connection)
-{
-    return std::ranges::any_of(connections, [&](auto const& other) { return other.lock() == connection; });
-}
-
 }
 
 ConnectionPool::ConnectionPool(asio::io_context& context, PoolOptions options)
@@ -64,7 +59,7 @@
 }
 
 std::shared_ptr<ClientConnection> ConnectionPool::take(
-    Endpoint const& endpoint, ReusePolicy policy, Core::Instant now, WeakConnections const& excluded)
+    Endpoint const& endpoint, ReusePolicy policy, Core::Instant now, std::optional<uint64_t> requestIdHash)
 {
     if (policy == ReusePolicy::None)
         return nullptr;
@@ -85,7 +80,7 @@
         }
         if (entry.newestUnresponsiveOpenedAt && connection->openedAt() <= *entry.newestUnresponsiveOpenedAt)
             return nullptr;
-        if (contains(excluded, connection))
+        if (requestIdHash && connection->hasCarried(*requestIdHash))
             continue;
         entry.idle.erase(position);
         if (connection->isOpenWithoutInput())
--- a/Libraries/LibHTTP/ConnectionPool.h
+++ b/Libraries/LibHTTP/ConnectionPool.h
@@ -8,8 +8,6 @@
 
 namespace Comfreysail::HTTP {
 
-using WeakConnections = std::vector<std::weak_ptr<ClientConnection>>;
-
 /// Which idle connections a request may use.
 enum class ReusePolicy {
     Any,
@@ -41,10 +39,10 @@
 public:
     ConnectionPool(asio::io_context&, PoolOptions);
 
-    /// Removes and returns an idle connection that is open and has received no bytes; nullptr if there is none. Those
-    /// in `excluded` stay in the pool.
+    /// Removes and returns an idle connection that is open and has received no bytes; nullptr if there is none. One
+    /// that has carried the request id with this hash stays in the pool.
     std::shared_ptr<ClientConnection> take(
-        Endpoint const&, ReusePolicy, Core::Instant now, WeakConnections const& excluded = {});
+        Endpoint const&, ReusePolicy, Core::Instant now, std::optional<uint64_t> requestIdHash = std::nullopt);
 
     /// True if there is an idle connection to the endpoint that has not expired. The peer may have closed it.
     bool hasIdle(Endpoint const&, Core::Instant now) const;
--- a/Services/comfreysaild/EntryRequest.h
+++ b/Services/comfreysaild/EntryRequest.h
@@ -50,10 +50,7 @@
 
     unsigned sends { 0 };
     std::string lastTarget;
-    uint16_t lastLocalPort { 0 }; ///< Of the connection of the last send; 0 if there was none.
-    /// Connections on which the request was sent. Only its id tells its response from a late copy of an earlier one, so
-    /// it must not be sent twice on the same connection.
-    HTTP::WeakConnections usedConnections;
+    uint16_t lastLocalPort { 0 };         ///< Of the connection of the last send; 0 if there was none.
     bool isLastTargetInOwnZone { false }; ///< The last target is in this daemon's availability zone.
     bool wasConnectionLost { false };     ///< The last send lost its connection before a response.
     bool wasResponseCutOff { false };     ///< The last send lost its connection after the response had begun.
--- a/Services/comfreysaild/TargetExchange.cpp
+++ b/Services/comfreysaild/TargetExchange.cpp
@@ -2,6 +2,7 @@
 
 #include "EntryMetrics.h"
 #include "OverloadInput.h"
+#include <LibCore/Hash.h>
 #include <algorithm>
 #include <platform/Platform.h>
 
@@ -112,7 +113,8 @@
     // A request that must not run twice uses only a connection that was active a moment ago, usually by a load probe:
     // the target still reads from it.
     auto const policy = request.isIdempotent() ? HTTP::ReusePolicy::Any : HTTP::ReusePolicy::RecentlyUsed;
-    auto connection = m_pool.take(endpoint, policy, Core::monotonicNow(), request.usedConnections);
+    auto const idHash = Core::hashBytes(request.requestId);
+    auto connection = m_pool.take(endpoint, policy, Core::monotonicNow(), idHash);
     if (!connection)
         connection = co_await connect(request, endpoint);
     if (!connection || request.stopSignal.reason()) {
@@ -128,7 +130,7 @@
         co_return ResponseVerdict::NotRun;
     }
     request.lastLocalPort = connection->localPort();
-    request.usedConnections.push_back(connection);
+    connection->noteRequestId(idHash);
     m_state.directory.noteSent(target.id);
     m_state.overload.departments.noteSent(Access::nameOf(request.department), Core::monotonicNow());
     request.sentAt = Core::monotonicNow();
--- a/Tests/LibHTTP/TestConnectionPool.cpp
+++ b/Tests/LibHTTP/TestConnectionPool.cpp
@@ -77,23 +77,40 @@
     connection->close();
 }
 
-// A request that is sent again must not use a connection that carried it before, and leaves it to other requests.
-TEST_CASE_METHOD(PoolFixture, "Pool_ConnectionIsExcluded_AnotherOneIsTaken", "[ConnectionPool]")
+// Guards against two requests with the same id on one connection, where a late copy of the response to the first one
+// could not be told from the response to the second. Other requests still use the connection.
+TEST_CASE_METHOD(PoolFixture, "Pool_ConnectionHasCarriedTheRequestId_AnotherOneIsTaken", "[ConnectionPool]")
 {
     ScriptedTarget const target(answering(wholeResponse("abc")));
     auto const older = exchange(target);
     auto const newer = exchange(target);
     REQUIRE((older && newer));
+    newer->noteRequestId(1);
+    newer->noteRequestId(2);
     auto const now = Core::monotonicNow();
     pool.release(older, now);
     pool.release(newer, now);
-    CHECK(pool.take(endpointOf(target), ReusePolicy::Any, now, { newer }) == older);
-    CHECK(pool.take(endpointOf(target), ReusePolicy::Any, now, { newer, older }) == nullptr);
-    CHECK(pool.take(endpointOf(target), ReusePolicy::Any, now) == newer);
+    CHECK(pool.take(endpointOf(target), ReusePolicy::Any, now, 1) == older);
+    CHECK(pool.take(endpointOf(target), ReusePolicy::Any, now, 2) == nullptr);
+    CHECK(pool.take(endpointOf(target), ReusePolicy::Any, now, 3) == newer);
     older->close();
     newer->close();
 }
 
+// Guards against a connection whose memory of request ids grows for as long as it is in use.
+TEST_CASE_METHOD(PoolFixture, "Pool_ConnectionHasCarriedManyRequestIds_IsReplaced", "[ConnectionPool]")
+{
+    ScriptedTarget const target(answering(wholeResponse("abc")));
+    auto const connection = exchange(target);
+    REQUIRE(connection);
+    for (uint64_t id = 0; id < 256; ++id) {
+        CHECK(connection->isReusable());
+        connection->noteRequestId(id);
+    }
+    CHECK_FALSE(connection->isReusable());
+    connection->close();
+}
+
 TEST_CASE_METHOD(PoolFixture, "Pool_UncleanConnection_IsNotReused", "[ConnectionPool]")
 {
     // Reusing any of these connections could give the next caller bytes of another response, or none.
--- a/Tests/comfreysaild/TestEntryLateResponses.cpp
+++ b/Tests/comfreysaild/TestEntryLateResponses.cpp
@@ -157,6 +157,33 @@
     CHECK(target.runs == 2);
 }
 
+// The same if the client sends the order again under its id: the copy belongs to the first request.
+TEST_CASE_METHOD(EntryFixture, "Entry_ClientSendsARefusedOrderAgainUnderItsId_GetsTheResponseToItsSecondRequest")
+{
+    std::mutex mutex;
+    RawConnection const* refusing = nullptr;
+    std::string refusal;
+    auto& target = addTarget("t1", [&](RawConnection& connection, std::string const& head) {
+        std::lock_guard const lock(mutex);
+        if (!refusing) {
+            refusing = &connection;
+            refusal = shedResponse(idField(head));
+            return connection.send(refusal);
+        }
+        if (refusing == &connection)
+            connection.send(refusal);
+        return connection.send(signedResponse(head, "whole"));
+    });
+    StopAtScopeEnd const stop(*this);
+    startDaemon();
+    auto const order = requestText("POST", "/pay/1", "same-id", "order");
+    CHECK(daemon().call(order).status() == 503);
+    auto const response = daemon().call(order);
+    CAPTURE(response.head);
+    CHECK(response.body == "whole");
+    CHECK(target.runs == 2);
+}
+
 // The same copy in front of the response to a load probe must not be taken for the probe's response, and the probe's
 // response not for that of the next request.
 TEST_CASE_METHOD(EntryFixture, "Entry_LateCopyBeforeALoadProbe_DoesNotAnswerTheProbe")
