Services: Skip responses to other requests in the settings tree, too

Callers saw: a late second copy of an earlier response was passed on as the response to the next request on that connection. Shown with stand-ins only.

Cause: UpstreamClient did not look at the id that a response bears.

Change: a response with the id of another request is skipped, up to three times, and the connection is not used again. A response without an id counts as before. A connection carries each id only once.

--- a/Services/comfreysaild/UpstreamClient.cpp
+++ b/Services/comfreysaild/UpstreamClient.cpp
@@ -1,6 +1,8 @@
 #include "UpstreamClient.h"
 
 #include "RequestBody.h"
+#include <LibCore/Hash.h>
+#include <array>
 
 namespace Comfreysail::Daemon {
 
@@ -16,6 +18,52 @@
 // Bytes. A request can be retried only until the caller has received a response head, so small bodies are read to their
 // end before. Prefetching larger ones would cost memory and delay the first byte.
 constexpr uint64_t maxPrefetchedBody = uint64_t { 64 } * 1024;
+constexpr unsigned maxForeignResponses = 3;
+constexpr size_t skipBufferSize = size_t { 4 } * 1024;
+
+/// Responses without an id are taken for those to the request, as targets of older builds send none.
+bool isToAnotherRequest(HTTP::ResponseHead const& head, std::string_view requestId)
+{
+    auto const id = head.fields.find(Core::Header::requestId);
+    return id && *id != requestId;
+}
+
+awaitable<Result<Empty>> skipBody(ClientConnection& connection)
+{
+    std::array<char, skipBufferSize> buffer {};
+    while (true) {
+        auto const size = co_await connection.readBody(buffer);
+        if (isError(size))
+            co_return errorOf(size);
+        if (valueOf(size) == 0)
+            co_return Empty {};
+    }
+}
+
+/// Reads the head of the response to the request with this id.
+awaitable<Result<UpstreamResponse>> readResponse(
+    std::shared_ptr<ClientConnection> connection, std::string_view method, std::string_view requestId)
+{
+    UpstreamResponse response { connection, {} };
+    for (unsigned foreign = 0; foreign < maxForeignResponses; ++foreign) {
+        auto head = co_await connection->readHead(method);
+        if (isError(head))
+            co_return errorOf(head);
+        // Responses of targets in the settings tree must state their length or be chunked, so that truncation is
+        // detected.
+        if (valueOf(head).endsWithConnection)
+            co_return Error { ErrorKind::InvalidTargetAnswer, "the answer has no length" };
+        if (!isToAnotherRequest(valueOf(head), requestId)) {
+            response.head = takeValue(std::move(head));
+            co_return response;
+        }
+        response.followsOthers = true;
+        auto const skipped = co_await skipBody(*connection);
+        if (isError(skipped))
+            co_return errorOf(skipped);
+    }
+    co_return Error { ErrorKind::InvalidTargetAnswer, "the answers are to other requests" };
+}
 
 }
 
@@ -55,7 +103,9 @@
     RequestContext& context, HTTP::Endpoint const& endpoint, HTTP::ReusePolicy policy, HTTP::RequestHead head)
 {
     bool const mayHaveRunBefore = context.mayHaveRun;
-    auto connection = m_pool.take(endpoint, policy, Core::monotonicNow());
+    auto const& requestId = context.classification.requestId;
+    auto const idHash = Core::hashBytes(requestId);
+    auto connection = m_pool.take(endpoint, policy, Core::monotonicNow(), idHash);
     while (true) {
         bool const isPooled = connection != nullptr;
         if (!isPooled) {
@@ -66,6 +116,7 @@
         }
         StopSignal::Scope const scope(context.stopSignal, [&connection] { connection->close(); });
         context.mayHaveRun = true;
+        connection->noteRequestId(idHash);
         auto const sent = co_await sendRequest(context, *connection, head);
         if (isError(sent)) {
             context.mayHaveRun = mayHaveRunBefore;
@@ -78,16 +129,9 @@
             connection = nullptr;
             continue;
         }
-        UpstreamResponse upstream { connection, {} };
-        auto received = co_await connection->readHead(head.method);
-        // Responses of targets in the settings tree must state their length or be chunked, so that truncation is
-        // detected.
-        if (!isError(received) && valueOf(received).endsWithConnection)
-            received = Error { ErrorKind::InvalidTargetAnswer, "the answer has no length" };
-        if (!isError(received)) {
-            upstream.head = takeValue(std::move(received));
-            co_return upstream;
-        }
+        auto received = co_await readResponse(connection, head.method, requestId);
+        if (!isError(received))
+            co_return takeValue(std::move(received));
         auto const reason = context.stopSignal.reason();
         m_pool.discard(connection, reason == ErrorKind::DeadlineExceeded);
         context.exchange.cancelPendingRead();
@@ -144,7 +188,13 @@
     co_return result;
 }
 
-void UpstreamClient::finish(UpstreamResponse& upstream) { m_pool.release(upstream.connection, Core::monotonicNow()); }
+void UpstreamClient::finish(UpstreamResponse& upstream)
+{
+    if (upstream.followsOthers)
+        m_pool.discard(upstream.connection, false);
+    else
+        m_pool.release(upstream.connection, Core::monotonicNow());
+}
 
 void UpstreamClient::abandon(UpstreamResponse& upstream, bool wasUnresponsive)
 {
--- a/Services/comfreysaild/UpstreamClient.h
+++ b/Services/comfreysaild/UpstreamClient.h
@@ -12,6 +12,7 @@
     HTTP::ResponseHead head;
     std::optional<std::string> prefetchedBody; ///< The whole body, if prefetchBody() has read it.
     size_t prefetchedBytesRead { 0 };
+    bool followsOthers { false }; ///< Responses to other requests came before it, so the connection is not reused.
 
     bool hasBufferedBody() const { return prefetchedBody || connection->hasBufferedBody(); }
 };
@@ -23,6 +24,7 @@
 
     /// Sends the request and reads the head of the response. Ends early if the context is stopped.
     /// Sets context.mayHaveRun as soon as a byte may have reached the other side.
+    /// Responses with the id of another request, such as late copies of earlier ones, are skipped.
     /// Errors: ConnectFailed (certainly not sent), ConnectionLost, InvalidTargetAnswer, or the reason of the stop
     /// signal.
     HTTP::awaitable<Core::Result<UpstreamResponse>> send(
--- a/Tests/comfreysaild/TestRequestPath.cpp
+++ b/Tests/comfreysaild/TestRequestPath.cpp
@@ -84,6 +84,28 @@
     }
 }
 
+// Guards against a late second copy of an earlier response that is taken for the response to the next request on the
+// connection.
+TEST_CASE("Request_FollowsALateCopyOfAnEarlierResponse_GetsItsOwnResponse", "[RequestPath]")
+{
+    bool const isOrder = GENERATE(false, true);
+    CAPTURE(isOrder);
+    std::string earlier;
+    ScriptedTarget target([&earlier](RawConnection& connection, std::string const& head) {
+        std::string const name = "Comfreysail-Request-Id: ";
+        auto const id = head.substr(head.find(name) + name.size(), 32);
+        connection.send(earlier);
+        earlier = wholeResponse("response to " + id, name + id + "\r\n");
+        return connection.send(earlier);
+    });
+    DaemonProcess const daemon({ .targets = { { target.port() } } });
+    CHECK(daemon.call(lookup).status() == 200);
+    auto const response = daemon.call(isOrder ? order : lookup);
+    CHECK(response.status() == 200);
+    CHECK(response.body == "response to " + response.field("Comfreysail-Request-Id"));
+    CHECK(target.requests() == 2);
+}
+
 TEST_CASE("Order_ConnectRefused_IsNotRun", "[RequestPath]")
 {
     // The port stays bound without listening, so that no other process can take it.
