Services: Compare reports of targets wherever they are read

Cause: only a daemon that had read the newer report from the store knew that a late one is older. One that restarted, or began to read the store, took the late report and handed it on to all others. The time for which a report is remembered (15 s) was called the operators' figure, which is 6 s.

Change: shared rows of targets begin with the number of the report with which their content changed, and every daemon asks decideOnReport() for the rows that it adopts. The number is not part of the digests; older builds, which send 0 there, have the same ones. Reports are remembered, and older ones do not count, for twice the 6 s.

--- a/Libraries/LibTraffic/SharedRows.cpp
+++ b/Libraries/LibTraffic/SharedRows.cpp
@@ -12,12 +12,19 @@
 // that lags behind them gets all rows instead.
 constexpr size_t maxRemovals = 500;
 
-// Row digests are combined by exclusive or, so that a single row can be removed from the digest of a table.
-uint64_t digestOf(std::string_view key, std::string_view text)
-{
-    return Core::combineHashes(Core::hashBytes(key), Core::hashBytes(text));
+// The first line that digests have in its place, which older builds send.
+constexpr std::string_view unknownReport = "0\n";
+
 }
 
+// Row digests are combined by exclusive or, so that a single row can be removed from the digest of a table.
+uint64_t SharedRows::digestOf(std::string_view table, std::string_view key, std::string_view text) const
+{
+    auto const lineEnd = text.find('\n');
+    if (!m_tablesOfReports.contains(table) || lineEnd == std::string_view::npos)
+        return Core::combineHashes(Core::hashBytes(key), Core::hashBytes(text));
+    auto const content = std::string(unknownReport) + std::string(text.substr(lineEnd + 1));
+    return Core::combineHashes(Core::hashBytes(key), Core::hashBytes(content));
 }
 
 bool SharedRows::set(std::string_view table, std::string const& key, std::optional<std::string> text, uint64_t revision)
@@ -29,9 +36,9 @@
         return false;
     auto& digest = m_digests[std::string(table)];
     if (found != rows.end())
-        digest ^= digestOf(key, found->second);
+        digest ^= digestOf(table, key, found->second);
     if (text)
-        digest ^= digestOf(key, *text);
+        digest ^= digestOf(table, key, *text);
     ++m_version;
     auto& change = m_changes[{ std::string(table), key }];
     bool const wasRemoval = change.version > 0 && !change.text;
--- a/Libraries/LibTraffic/SharedRows.h
+++ b/Libraries/LibTraffic/SharedRows.h
@@ -47,6 +47,14 @@
 class SharedRows {
 public:
     using Table = std::map<std::string, std::string, std::less<>>;
+    using TableNames = std::set<std::string, std::less<>>;
+
+    /// The first line of a row in one of `tablesOfReports` tells which report of its writer it comes from. Daemons that
+    /// read the store at different times may have different ones with the same content, so it is not part of digests.
+    explicit SharedRows(TableNames tablesOfReports = {})
+        : m_tablesOfReports(std::move(tablesOfReports))
+    {
+    }
 
     /// Replaces a table by the rows that were read from the store. Returns true if a row changed. A read that is older
     /// than the last one changes nothing.
@@ -88,9 +96,11 @@
         uint64_t version { 0 };
     };
 
+    uint64_t digestOf(std::string_view table, std::string_view key, std::string_view text) const;
     bool set(std::string_view table, std::string const& key, std::optional<std::string> text, uint64_t revision);
     void dropOldRemovals();
 
+    TableNames m_tablesOfReports;
     std::map<std::string, Table, std::less<>> m_tables;
     std::map<std::pair<std::string, std::string>, Entry> m_changes; ///< Last change of each row, by table and key.
     TableRevisions m_revisions;
--- a/Libraries/LibTraffic/TargetReport.cpp
+++ b/Libraries/LibTraffic/TargetReport.cpp
@@ -17,12 +17,11 @@
 
 ReportDecision decideOnReport(std::optional<KnownReport> const& known, ReportPosition const& report, Instant now)
 {
-    if (!known || !isOlder(report, known->position))
-        return { true, { report, now, std::nullopt } };
-    auto const outdatedSince = known->outdatedSince.value_or(now);
-    if (now - outdatedSince > maxWriteDelay)
-        return { true, { report, now, std::nullopt } };
-    return { false, { known->position, now, outdatedSince } };
+    bool const isOutdated = known && isOlder(report, known->position);
+    auto const outdatedSince = known ? known->outdatedSince.value_or(now) : now;
+    if (!isOutdated || now - outdatedSince > reportTimeout)
+        return { true, { report, std::nullopt, std::nullopt } };
+    return { false, { known->position, outdatedSince, known->removedAt } };
 }
 
 }
--- a/Libraries/LibTraffic/TargetReport.h
+++ b/Libraries/LibTraffic/TargetReport.h
@@ -11,7 +11,7 @@
 /// The place of a report among all reports that a target wrote into the registry under one id.
 struct ReportPosition {
     int64_t startedAt { 0 };         ///< Start of the reporting run, in Unix ms; 0 if unknown.
-    std::optional<int64_t> sequence; ///< Number of the report within that run.
+    std::optional<int64_t> sequence; ///< Number of the report within that run; std::nullopt if unknown.
 
     auto operator<=>(ReportPosition const&) const = default;
 };
@@ -21,30 +21,32 @@
 /// Returns true if `report` was written before `known`. False if a start, or a number within the same run, is unknown.
 bool isOlder(ReportPosition const& report, ReportPosition const& known);
 
-/// The newest report of a target that a daemon has read from the registry.
+/// The newest report of a target that was read.
 struct KnownReport {
     ReportPosition position;
-    Core::Instant seenAt {}; ///< When the registry last had an entry of the target.
-    /// Since when the registry has had an older report instead.
-    std::optional<Core::Instant> outdatedSince;
+    std::optional<Core::Instant> outdatedSince; ///< Since when an older report has been read instead.
+    std::optional<Core::Instant> removedAt;     ///< When the target's entry was gone.
 
     bool operator==(KnownReport const&) const = default;
 };
 
-/// How late the registry may apply a write, according to its users. Reports are remembered for so long after their
-/// entry is gone. An older report that stays in the registry for longer counts, since a running target would have
-/// replaced it.
-inline constexpr Core::Duration maxWriteDelay = std::chrono::seconds(15);
+/// The registry may apply a write whose response was lost as late as this. Stated by its operators.
+inline constexpr Core::Duration maxWriteDelay = std::chrono::seconds(6);
+
+/// For this time an older report does not count, and the report of a target whose entry is gone is remembered. Longer
+/// than the delay of a write, since a read may be late, too. An older report that stays for longer counts: a running
+/// target would have replaced it with its next heartbeat, and the entry of one that has ended would have expired.
+inline constexpr Core::Duration reportTimeout = 2 * maxWriteDelay;
 
 struct ReportDecision {
-    bool isUsed { false }; ///< The entry counts; otherwise the one before it remains in force.
+    bool isUsed { false }; ///< The report counts; otherwise the one before it remains in force.
     KnownReport known;
 
     bool operator==(ReportDecision const&) const = default;
 };
 
-/// Decides whether an entry of the registry counts. A write whose response was lost may be applied after later ones,
-/// and would bring back what the target said before. `known` is std::nullopt for a target that is not known.
+/// Decides whether a report counts. A write that is applied late would bring back what the target said before. `known`
+/// is std::nullopt for a target of which no report was read.
 ReportDecision decideOnReport(std::optional<KnownReport> const& known, ReportPosition const& report, Core::Instant now);
 
 }
--- a/Libraries/LibTraffic/Traffic.h
+++ b/Libraries/LibTraffic/Traffic.h
@@ -18,6 +18,7 @@
 #include <LibTraffic/QueueingEstimate.h>
 #include <LibTraffic/RegisteredTarget.h>
 #include <LibTraffic/RelayTree.h>
+#include <LibTraffic/ReportMemory.h>
 #include <LibTraffic/RequestRateEstimate.h>
 #include <LibTraffic/ResponseVerdict.h>
 #include <LibTraffic/RestoredTable.h>
--- a/Services/comfreysaild/EntryState.h
+++ b/Services/comfreysaild/EntryState.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <platform/Names.h>
 #include <random>
 #include <set>
 #include <string>
@@ -44,7 +45,7 @@
     }
 
     std::string daemonName;
-    Traffic::SharedRows sharedRows;
+    Traffic::SharedRows sharedRows { { std::string(Platform::Table::targets) } };
     Traffic::StoreClock storeClock;
     Core::Instant rowsReadAt {}; ///< When this or another daemon read the shared rows from the store.
     std::shared_ptr<Traffic::TrafficPlan const> plan; ///< nullptr until the first plan arrives.
--- a/Services/comfreysaild/RowAdopter.cpp
+++ b/Services/comfreysaild/RowAdopter.cpp
@@ -5,6 +5,8 @@
 
 namespace Comfreysail::Daemon {
 
+using Core::Error;
+using Core::ErrorKind;
 using Platform::StoreRow;
 using Traffic::MoveState;
 
@@ -19,6 +21,17 @@
     return row;
 }
 
+namespace {
+
+/// The number of a target's report as the first line of its shared row: plus one, or 0 if there is none.
+uint64_t reportNumberOf(Core::Result<Traffic::RegisteredTarget> const& target)
+{
+    auto const sequence = isError(target) ? std::nullopt : valueOf(target).sequence;
+    return sequence && *sequence >= 0 ? static_cast<uint64_t>(*sequence) + 1 : 0;
+}
+
+}
+
 RowAdopter::RowAdopter(EntryState& state)
     : m_state(state)
     , m_crashRows(state)
@@ -46,45 +59,53 @@
 {
     auto const& inForce = m_state.sharedRows.table(Platform::Table::targets);
     Traffic::SharedRows::Table result;
+    std::set<std::string_view> present;
     for (auto const& row : rows) {
+        present.insert(row.key);
         auto const target = Platform::decodeTarget(row);
         if (isError(target) && isFirstRefusal("target " + row.key, 0))
             Telemetry::EventLine("target_refused").add("reason", errorOf(target).detail).logWarning();
-        if (!isError(target) && !isNewestReport(valueOf(target), now)) {
-            if (auto const kept = inForce.find(row.key); kept != inForce.end())
-                result.insert(*kept);
-            continue;
-        }
-        StoreRow normalized;
-        normalized.value = isError(target) ? std::string() : Platform::encodeTarget(valueOf(target));
-        result.emplace(row.key, sharedText(normalized));
+        bool const isOutdated = !isError(target) && !isNewestStored(valueOf(target), now);
+        auto const content = isError(target) ? std::string() : Platform::encodeTarget(valueOf(target));
+        auto const kept = inForce.find(row.key);
+        bool const isKept = kept != inForce.end() && (isOutdated || storeRow(row.key, kept->second).value == content);
+        if (isKept)
+            result.insert(*kept);
+        else if (!isOutdated)
+            result.emplace(row.key, sharedText({ .value = content, .revision = reportNumberOf(target) }));
     }
-    std::erase_if(m_reports, [now](auto const& item) { return now - item.second.seenAt > Traffic::maxWriteDelay; });
+    m_storedReports.noteAllPresent(present, now);
+    m_storedReports.forgetRemoved(now);
     return result;
 }
 
-bool RowAdopter::isNewestReport(Traffic::RegisteredTarget const& target, Core::Instant now)
+bool RowAdopter::isNewestStored(Traffic::RegisteredTarget const& target, Core::Instant now)
 {
-    auto const found = m_reports.find(target.id);
-    auto const known = found == m_reports.end() ? std::nullopt : std::optional(found->second);
+    auto const* const stored = m_storedReports.find(target.id);
+    auto const* const adopted = m_adoptedReports.find(target.id);
+    if (adopted && (!stored || Traffic::isOlder(stored->position, adopted->position)))
+        m_storedReports.note(target.id, adopted->position, now);
     auto const report = Traffic::positionOf(target);
-    auto const decision = Traffic::decideOnReport(known, report, now);
-    m_reports.insert_or_assign(target.id, decision.known);
-    bool const becameOutdated = !decision.isUsed && !known->outdatedSince;
-    if (becameOutdated) {
-        m_state.metrics.counter("comfreysail_outdated_target_reports_total").add();
-        Telemetry::EventLine("target_report_outdated")
-            .add("target", target.id)
-            .add("started_at", report.startedAt)
-            .add("sequence", report.sequence.value_or(-1))
-            .add("known_started_at", known->position.startedAt)
-            .add("known_sequence", known->position.sequence.value_or(-1))
-            .add("known_ms_ago", Core::toMilliseconds(now - known->seenAt))
-            .logWarning();
-    }
+    auto const decision = m_storedReports.note(target.id, report, now);
+    if (!decision.isUsed && decision.known.outdatedSince == now)
+        noteOutdated(target.id, report, decision, "store");
     return decision.isUsed;
 }
 
+void RowAdopter::noteOutdated(std::string const& id, Traffic::ReportPosition const& report,
+    Traffic::ReportDecision const& decision, std::string_view source)
+{
+    m_state.metrics.counter("comfreysail_outdated_target_reports_total", { { "source", std::string(source) } }).add();
+    Telemetry::EventLine("target_report_outdated")
+        .add("target", id)
+        .add("source", source)
+        .add("started_at", report.startedAt)
+        .add("sequence", report.sequence.value_or(-1))
+        .add("known_started_at", decision.known.position.startedAt)
+        .add("known_sequence", decision.known.position.sequence.value_or(-1))
+        .logWarning();
+}
+
 void RowAdopter::adoptDecisions()
 {
     std::set<std::string, std::less<>> zonesOutOfService;
@@ -299,34 +320,59 @@
     }
 }
 
+void RowAdopter::sortTarget(std::string const& key, std::optional<std::string> const& text,
+    std::vector<Traffic::RegisteredTarget>& changed, std::vector<std::string>& removed, Core::Instant now)
+{
+    m_targetsOutdatedByRow.erase(key);
+    auto target = text ? Platform::decodeTarget(storeRow(key, *text)) : Error { ErrorKind::MalformedMessage, {} };
+    if (isError(target)) {
+        removed.push_back(key);
+        m_adoptedReports.noteRemoved(key, now);
+        return;
+    }
+    auto report = Traffic::positionOf(valueOf(target));
+    if (auto const number = storeRow(key, *text).revision; number > 0)
+        report.sequence = static_cast<int64_t>(number - 1);
+    auto const decision = m_adoptedReports.note(key, report, now);
+    if (decision.isUsed) {
+        changed.push_back(takeValue(std::move(target)));
+        return;
+    }
+    m_targetsOutdatedByRow.insert(key);
+    if (decision.known.outdatedSince == now)
+        noteOutdated(key, report, decision, "daemon");
+    auto const* const inForce = m_state.directory.find(key);
+    if (inForce && !decision.known.removedAt)
+        changed.push_back(inForce->target);
+}
+
 void RowAdopter::adoptTargets(Core::Instant now)
 {
     auto const& rows = m_state.sharedRows;
-    // Invalid rows were logged by the daemon that read them from the store.
+    auto const& table = rows.table(Platform::Table::targets);
     auto const changes = m_adoptedTargetsVersion ? rows.changesSince(Platform::Table::targets, *m_adoptedTargetsVersion)
                                                  : std::nullopt;
     std::vector<Traffic::RegisteredTarget> changed;
     std::vector<std::string> removed;
-    auto const add = [&](std::string const& key, std::optional<std::string> const& text) {
-        if (!text) {
-            removed.push_back(key);
-            return;
-        }
-        auto target = Platform::decodeTarget(storeRow(key, *text));
-        if (isError(target))
-            removed.push_back(key);
-        else
-            changed.push_back(takeValue(std::move(target)));
-    };
     if (changes) {
+        // An outdated row counts after some time, although it does not change.
+        for (auto const& key : std::set(m_targetsOutdatedByRow)) {
+            if (auto const row = table.find(key); row != table.end())
+                sortTarget(key, row->second, changed, removed, now);
+        }
         for (auto const& row : *changes)
-            add(row.key, row.text);
+            sortTarget(row.key, row.text, changed, removed, now);
         m_state.directory.applyChanges(changed, removed, now);
     } else {
-        for (auto const& [key, text] : rows.table(Platform::Table::targets))
-            add(key, text);
+        std::set<std::string_view> present;
+        for (auto const& [key, text] : table) {
+            present.insert(key);
+            sortTarget(key, text, changed, removed, now);
+        }
+        m_adoptedReports.noteAllPresent(present, now);
         m_state.directory.replaceAll(changed, now);
     }
+    m_adoptedReports.forgetRemoved(now);
     m_adoptedTargetsVersion = rows.version();
     m_state.hasReadTargets = true;
 }
--- a/Services/comfreysaild/RowAdopter.h
+++ b/Services/comfreysaild/RowAdopter.h
@@ -16,7 +16,8 @@
     explicit RowAdopter(EntryState&);
 
     /// Converts store rows to a table of shared rows. Target rows are normalized: they change only with their content,
-    /// so that heartbeats are not distributed to all daemons, and invalid rows become empty.
+    /// so that heartbeats are not distributed to all daemons, and invalid rows become empty. Their first line is the
+    /// number of the report with which the content changed, plus one, or 0 if it states none.
     /// A target's row that is older than one read before does not count, see Traffic::decideOnReport().
     Traffic::SharedRows::Table sharedTable(
         std::string_view table, std::vector<Platform::StoreRow> const&, Core::Instant now);
@@ -44,13 +45,20 @@
     void adoptResults();
     bool isFirstRefusal(std::string const& key, uint64_t revision);
     Traffic::SharedRows::Table sharedTargets(std::vector<Platform::StoreRow> const&, Core::Instant now);
-    /// Returns false if a newer entry of the target was read before.
-    bool isNewestReport(Traffic::RegisteredTarget const&, Core::Instant now);
+    /// Returns true if no newer report of the target was read before, here or by the daemons whose rows were adopted.
+    bool isNewestStored(Traffic::RegisteredTarget const&, Core::Instant now);
+    /// Applies the row of a target to one of the lists, unless it is outdated.
+    void sortTarget(std::string const& key, std::optional<std::string> const& text,
+        std::vector<Traffic::RegisteredTarget>& changed, std::vector<std::string>& removed, Core::Instant now);
+    void noteOutdated(
+        std::string const& id, Traffic::ReportPosition const&, Traffic::ReportDecision const&, std::string_view source);
 
     EntryState& m_state;
     CrashRows m_crashRows;
     std::optional<uint64_t> m_adoptedTargetsVersion; ///< Version of the shared rows whose targets are applied.
-    std::map<std::string, Traffic::KnownReport, std::less<>> m_reports; ///< By id of the target.
+    Traffic::ReportMemory m_storedReports;           ///< As far as this daemon read the store.
+    Traffic::ReportMemory m_adoptedReports;          ///< Of the targets in the directory.
+    std::set<std::string, std::less<>> m_targetsOutdatedByRow; ///< Their shared rows are older than what is adopted.
     std::map<std::string, uint64_t, std::less<>>
         m_loggedInvalidRows; ///< Revisions of invalid rows that were logged, by key.
 };
--- a/Tests/LibTraffic/TestRelay.cpp
+++ b/Tests/LibTraffic/TestRelay.cpp
@@ -54,6 +54,30 @@
     CHECK(source.changesAfter(follower.knownRevisions()).rows.empty());
 }
 
+// Guards against daemons that send each other all targets, because one read the store a heartbeat later than the other,
+// and against a difference in content that is not noticed.
+TEST_CASE("SharedRows_RowsDifferInTheNumberOfTheReportOnly_HaveTheSameDigest")
+{
+    SharedRows::TableNames const tablesOfReports { "targets" };
+    SharedRows source(tablesOfReports);
+    SharedRows follower(tablesOfReports);
+    SharedRows ofOlderBuild;
+    source.replaceTable("targets", { { "a", "9\nready" } }, 5);
+    follower.replaceTable("targets", { { "a", "8\nready" } }, 5);
+    ofOlderBuild.replaceTable("targets", { { "a", "0\nready" } }, 5);
+    auto const changes = source.changesAfter(follower.knownRevisions());
+    CHECK(changes.rows.empty());
+    CHECK(follower.apply(changes) == ApplyResult::Applied);
+    CHECK(ofOlderBuild.apply(changes) == ApplyResult::Applied);
+    follower.replaceTable("targets", { { "a", "8\ndraining" } }, 5);
+    CHECK(follower.apply(changes) == ApplyResult::Incomplete);
+    // The first lines of other tables are revisions, which belong to the content.
+    source.replaceTable("plans", { { "a", "9\ntext" } }, 5);
+    follower.replaceTable("plans", { { "a", "8\ntext" } }, 5);
+    follower.replaceTable("targets", { { "a", "8\nready" } }, 5);
+    CHECK(follower.apply(source.changesAfter(follower.knownRevisions())) == ApplyResult::Incomplete);
+}
+
 // With a third of the daemons unreachable, many of the others ask the readers. If a reader sent all rows to each of
 // them, its link and processor would be busy for longer than a change may take.
 TEST_CASE_METHOD(RelayFixture, "SharedRows_FollowerOfAnotherSource_GetsOnlyChangesSinceItsRead")
--- a/Tests/LibTraffic/TestTargetReport.cpp
+++ b/Tests/LibTraffic/TestTargetReport.cpp
@@ -9,7 +9,7 @@
 
 struct ReportFixture {
     Core::Instant start { 1h };
-    KnownReport known { { 1000, 7 }, start, std::nullopt };
+    KnownReport known { { 1000, 7 }, std::nullopt, std::nullopt };
 };
 
 }
@@ -38,16 +38,37 @@
 }
 
 // Guards against a target that is left out for good because its clock or its numbers were set back.
-TEST_CASE_METHOD(ReportFixture, "TargetReport_OlderOneStaysInTheRegistry_CountsAfterTheLongestDelayOfAWrite")
+TEST_CASE_METHOD(ReportFixture, "TargetReport_OlderOneStaysInTheRegistry_CountsAfterTheTimeout")
 {
-    auto decision = decideOnReport(known, { 1000, 6 }, start + 1s);
-    CHECK(decision.known.position == known.position);
-    decision = decideOnReport(decision.known, { 1000, 5 }, start + 1s + maxWriteDelay);
+    auto decision = decideOnReport(known, { 1000, 6 }, start);
+    CHECK(decision == ReportDecision { false, { known.position, start, std::nullopt } });
+    decision = decideOnReport(decision.known, { 1000, 5 }, start + reportTimeout);
     CHECK_FALSE(decision.isUsed);
-    decision = decideOnReport(decision.known, { 1000, 5 }, start + 1001ms + maxWriteDelay);
-    CHECK(decision == ReportDecision { true, { { 1000, 5 }, start + 1001ms + maxWriteDelay, std::nullopt } });
+    decision = decideOnReport(decision.known, { 1000, 5 }, start + reportTimeout + 1ms);
+    CHECK(decision == ReportDecision { true, { { 1000, 5 }, std::nullopt, std::nullopt } });
     // A newer one in between ends the time.
-    decision = decideOnReport(known, { 1000, 6 }, start + 1s);
-    decision = decideOnReport(decision.known, { 1000, 8 }, start + 2s);
-    CHECK_FALSE(decideOnReport(decision.known, { 1000, 6 }, start + 1001ms + maxWriteDelay).isUsed);
+    decision = decideOnReport(known, { 1000, 6 }, start);
+    decision = decideOnReport(decision.known, { 1000, 8 }, start + 1s);
+    CHECK_FALSE(decideOnReport(decision.known, { 1000, 6 }, start + reportTimeout + 1ms).isUsed);
+}
+
+// Guards against a late write that brings back a target whose entry is gone, and against memory that grows with each
+// target that ever was.
+TEST_CASE_METHOD(ReportFixture, "ReportMemory_TargetIsRemoved_IsRememberedForAsLongAsAWriteMayBeLate")
+{
+    ReportMemory memory;
+    CHECK(memory.note("a", { 1000, 7 }, start).isUsed);
+    CHECK(memory.note("b", { 1000, 7 }, start).isUsed);
+    memory.noteRemoved("a", start);
+    CHECK_FALSE(memory.note("a", { 1000, 6 }, start + maxWriteDelay).isUsed);
+    memory.noteAllPresent({ "c" }, start + 1s);
+    memory.forgetRemoved(start + reportTimeout);
+    CHECK(memory.find("a"));
+    memory.forgetRemoved(start + reportTimeout + 1ms);
+    CHECK_FALSE(memory.find("a"));
+    CHECK(memory.find("b"));
+    // It is back, so it is no longer forgotten.
+    CHECK(memory.note("b", { 1000, 8 }, start + 2s).isUsed);
+    memory.forgetRemoved(start + 1h);
+    CHECK(memory.find("b"));
 }
--- a/Tests/comfreysaild/TestEntryState.cpp
+++ b/Tests/comfreysaild/TestEntryState.cpp
@@ -116,11 +116,50 @@
     REQUIRE(eventually([&] { return !isUsed(); }));
     registerTarget(leaving, "ready", "v1", 4);
     CHECK_FALSE(eventually(isUsed, 2s));
-    CHECK(daemon().log().find("event=target_report_outdated target=t1 started_at=1 sequence=4") != std::string::npos);
+    CHECK(daemon().log().find("event=target_report_outdated target=t1 source=store started_at=1 sequence=4")
+        != std::string::npos);
     registerTarget(leaving, "ready", "v1", 1, 2);
     CHECK(eventually(isUsed));
 }
 
+// Guards against a restarted daemon that believes what a late write has left in the store, and hands it on: the daemons
+// that ran meanwhile know newer reports.
+TEST_CASE_METHOD(EntryFixture, "Entry_DaemonRestartsWhileAnOlderReportIsInTheStore_AllKeepTheNewerOne")
+{
+    auto& moving = addTarget("t1", respondComplete);
+    auto& other = addTarget("t2", respondComplete);
+    other.load = "1,0,16,200"; // Makes the daemons choose the other one while they may.
+    auto const report = [&](std::string const& zone, int sequence) {
+        writeRegistryRow("t1",
+            R"({"service":"orders","addr":"127.0.0.1:)" + std::to_string(moving.server->port()) + R"(","zone":")" + zone
+                + R"(","version":"v1","slots":2,"state":"ready","sequence":)" + std::to_string(sequence)
+                + R"(,"born":1})");
+    };
+    writeOperatorRow("evacuate/arima", "{}");
+    report("pos-hall", 5);
+    StopAtScopeEnd const stop(*this);
+    auto& remaining = startDaemon();
+    DaemonOptions options;
+    options.vmName = "entry-2";
+    options.seedPorts = { remaining.controlPort() };
+    auto* restarting = &startDaemon(options);
+    auto const isUsedBy = [&](DaemonProcess& daemon) {
+        auto const runs = moving.runs.load();
+        CHECK(daemon.call(requestText("GET", "/read/1", "a")).status() == 200);
+        return moving.runs > runs;
+    };
+    CHECK(isUsedBy(remaining));
+    CHECK(isUsedBy(*restarting));
+    report("arima", 6);
+    REQUIRE(eventually([&] { return !isUsedBy(remaining) && !isUsedBy(*restarting); }));
+    restarting->kill();
+    report("pos-hall", 4);
+    restarting = &startDaemon(options);
+    CHECK_FALSE(eventually([&] { return isUsedBy(remaining) || isUsedBy(*restarting); }, 3s));
+    report("pos-hall", 7);
+    CHECK(eventually([&] { return isUsedBy(remaining) && isUsedBy(*restarting); }));
+}
+
 TEST_CASE_METHOD(EntryFixture, "Entry_ZoneEvacuationIsCancelled_ServesAgain")
 {
     addTarget("t1", respondComplete);
--- a/Tests/comfreysaild/TestEntryStoreRestore.cpp
+++ b/Tests/comfreysaild/TestEntryStoreRestore.cpp
@@ -116,6 +116,32 @@
     CHECK(second.runs == before);
 }
 
+// Guards against a target that had left in the seconds that the store has lost, and stands in the copy: it would be
+// used again after the settling time.
+TEST_CASE_METHOD(RestoreFixture, "Entry_StoreLosesThatATargetLeft_ItGetsNoRequestsAfterTheSettlingTimeEither")
+{
+    auto& second = addTarget("t2", respondComplete);
+    StopAtScopeEnd const stop(*this);
+    registerTarget(second, "ready", "v1", 5);
+    startDaemon();
+    copyStore();
+    registerTarget(second, "ready", "v1", 6);
+    std::this_thread::sleep_for(1s);
+    bool const drains = GENERATE(true, false);
+    CAPTURE(drains);
+    if (drains)
+        registerTarget(second, "draining", "v1", 7);
+    else
+        removeTarget("t2");
+    std::this_thread::sleep_for(2s);
+    auto const before = second.runs.load();
+    restoreStore(1s);
+    auto const end = std::chrono::steady_clock::now() + 4s;
+    while (std::chrono::steady_clock::now() < end)
+        call("GET", "/read/1");
+    CHECK(second.runs == before);
+}
+
 // Guards against a zone that stays out of service although the operators have taken it back after the store's return.
 TEST_CASE_METHOD(RestoreFixture, "Entry_ZoneTakenBackAfterTheReturn_IsUsedAgainInTime")
 {
