Services: Let a restarted seed ask other daemons before it reads the store

Cause: until a seed knows the members it counts as a reader, so after a restart it read the store without asking a daemon that knows newer reports of targets. It then handed on what a late write had left there.

Change: a daemon without rows asks the others first, except at the first start.

--- a/Services/comfreysaild/StoreFollower.cpp
+++ b/Services/comfreysaild/StoreFollower.cpp
@@ -202,7 +202,9 @@
         auto const currentRole = role();
         auto const startedAt = Core::monotonicNow();
         bool isFresh = false;
-        if (currentRole != Traffic::RelayRole::Reader)
+        // After a restart another daemon knows newer reports of targets than a late write may have left in the store.
+        bool const knowsNothing = !m_state.hasReadTargets && !m_isFirstStart;
+        if (currentRole != Traffic::RelayRole::Reader || knowsNothing)
             isFresh = co_await pollOthers();
         auto const now = Core::monotonicNow();
         if (!isFresh && mayReadStore(currentRole, now)) {
--- a/Tests/Support/DaemonProcess.cpp
+++ b/Tests/Support/DaemonProcess.cpp
@@ -90,7 +90,10 @@
     for (auto const& [listener, port] : listeners)
         text += "[" + listener + "]\naddress = \"127.0.0.1\"\nport = " + std::to_string(port) + "\n";
     text += "seeds = [";
-    for (auto const port : options.seedPorts)
+    auto seedPorts = options.seedPorts;
+    if (options.isSeed)
+        seedPorts.push_back(ports.control);
+    for (auto const port : seedPorts)
         text += "\"127.0.0.1:" + std::to_string(port) + "\", ";
     text += "]\n";
     return text + "[overload]\n" + options.overload + "\n[limits]\n" + options.limits + "\n";
--- a/Tests/Support/DaemonProcess.h
+++ b/Tests/Support/DaemonProcess.h
@@ -28,6 +28,7 @@
     std::string vmName { "entry-1" };
     std::string availabilityZone { "pos-hall" };
     std::vector<uint16_t> seedPorts; ///< Control ports of other daemons.
+    bool isSeed { false };           ///< Its own control port is one of the seeds, too.
     /// Port of the platform. If set, the daemon serves targets that register themselves and has no settings tree.
     std::optional<uint16_t> platformPort;
     bool waitsUntilReady { true };
--- a/Tests/comfreysaild/TestEntryState.cpp
+++ b/Tests/comfreysaild/TestEntryState.cpp
@@ -142,6 +142,8 @@
     DaemonOptions options;
     options.vmName = "entry-2";
     options.seedPorts = { remaining.controlPort() };
+    options.isSeed = GENERATE(false, true);
+    CAPTURE(options.isSeed);
     auto* restarting = &startDaemon(options);
     auto const isUsedBy = [&](DaemonProcess& daemon) {
         auto const runs = moving.runs.load();
