--- a/Services/comfreysaild/RowAdopter.cpp
+++ b/Services/comfreysaild/RowAdopter.cpp
@@ -320,10 +320,10 @@
     }
 }
 
-void RowAdopter::sortTarget(std::string const& key, std::optional<std::string> const& text,
+void RowAdopter::adoptTargetRow(std::string const& key, std::optional<std::string> const& text,
     std::vector<Traffic::RegisteredTarget>& changed, std::vector<std::string>& removed, Core::Instant now)
 {
-    m_targetsOutdatedByRow.erase(key);
+    m_targetsWithOlderRow.erase(key);
     auto target = text ? Platform::decodeTarget(storeRow(key, *text)) : Error { ErrorKind::MalformedMessage, {} };
     if (isError(target)) {
         removed.push_back(key);
@@ -338,7 +338,7 @@
         changed.push_back(takeValue(std::move(target)));
         return;
     }
-    m_targetsOutdatedByRow.insert(key);
+    m_targetsWithOlderRow.insert(key);
     if (decision.known.outdatedSince == now)
         noteOutdated(key, report, decision, "daemon");
     auto const* const inForce = m_state.directory.find(key);
@@ -356,18 +356,18 @@
     std::vector<std::string> removed;
     if (changes) {
         // An outdated row counts after some time, although it does not change.
-        for (auto const& key : std::set(m_targetsOutdatedByRow)) {
+        for (auto const& key : std::set(m_targetsWithOlderRow)) {
             if (auto const row = table.find(key); row != table.end())
-                sortTarget(key, row->second, changed, removed, now);
+                adoptTargetRow(key, row->second, changed, removed, now);
         }
         for (auto const& row : *changes)
-            sortTarget(row.key, row.text, changed, removed, now);
+            adoptTargetRow(row.key, row.text, changed, removed, now);
         m_state.directory.applyChanges(changed, removed, now);
     } else {
         std::set<std::string_view> present;
         for (auto const& [key, text] : table) {
             present.insert(key);
-            sortTarget(key, text, changed, removed, now);
+            adoptTargetRow(key, text, changed, removed, now);
         }
         m_adoptedReports.noteAllPresent(present, now);
         m_state.directory.replaceAll(changed, now);
--- a/Services/comfreysaild/RowAdopter.h
+++ b/Services/comfreysaild/RowAdopter.h
@@ -47,18 +47,19 @@
     Traffic::SharedRows::Table sharedTargets(std::vector<Platform::StoreRow> const&, Core::Instant now);
     /// Returns true if no newer report of the target was read before, here or by the daemons whose rows were adopted.
     bool isNewestStored(Traffic::RegisteredTarget const&, Core::Instant now);
-    /// Applies the row of a target to one of the lists, unless it is outdated.
-    void sortTarget(std::string const& key, std::optional<std::string> const& text,
+    /// Adds what the row of a target changes to one of the lists; std::nullopt is a row that was removed. A row that is
+    /// older than the adopted one changes nothing.
+    void adoptTargetRow(std::string const& key, std::optional<std::string> const& text,
         std::vector<Traffic::RegisteredTarget>& changed, std::vector<std::string>& removed, Core::Instant now);
     void noteOutdated(
         std::string const& id, Traffic::ReportPosition const&, Traffic::ReportDecision const&, std::string_view source);
 
     EntryState& m_state;
     CrashRows m_crashRows;
-    std::optional<uint64_t> m_adoptedTargetsVersion; ///< Version of the shared rows whose targets are applied.
-    Traffic::ReportMemory m_storedReports;           ///< As far as this daemon read the store.
-    Traffic::ReportMemory m_adoptedReports;          ///< Of the targets in the directory.
-    std::set<std::string, std::less<>> m_targetsOutdatedByRow; ///< Their shared rows are older than what is adopted.
+    std::optional<uint64_t> m_adoptedTargetsVersion;          ///< Version of the shared rows whose targets are applied.
+    Traffic::ReportMemory m_storedReports;                    ///< As far as this daemon read the store.
+    Traffic::ReportMemory m_adoptedReports;                   ///< Of the targets in the directory.
+    std::set<std::string, std::less<>> m_targetsWithOlderRow; ///< Their shared rows are older than what is adopted.
     std::map<std::string, uint64_t, std::less<>>
         m_loggedInvalidRows; ///< Revisions of invalid rows that were logged, by key.
 };
